Gone is only advice where the settings say so; tenants are weighed no more

Evidence: refusals began with the list change and ended with it, while no attempt had failed and no server had changed. Now such a member goes on with its role, position and health. It is doubted until it answers or a probe does: others come first, it is probed on need, and once it fails it gets probes only (ghosts). A drain holds until a new launch, whatever later lists say. Where the setting is absent gone binds as before. Should also hold against lists that are merely late. It may hurt where a member is really gone and hangs: the first request there then waits for its time-out, as it does before any list tells.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -66,7 +66,7 @@
 constexpr double kPackWait = 0.25;
 // Puts every member that is not slow before all that are, for long reads: far below any score by load.
 constexpr double kRankStep = 1e-9;
-// Makes a second try prefer a member that the request has not seen.
+// Makes a second try prefer a member that the request has not seen, and any try one known to live.
 constexpr double kTriedPenalty = 4;
 
 // Health. A member that fails is left alone for this long, doubled with each further failure up to the most.
@@ -118,7 +118,10 @@
 
 struct Peer {
   Member info;
-  bool ready = false;
+  bool ready = false;     // the contract lets us send to it
+  bool draining = false;  // listed so since its last launch
+  bool listedGone = false;
+  bool doubted = false;        // where the list is only advice: nothing but the list speaks of its state
   std::size_t rank = 0;        // its place in its group by id, the same at every router
   Position position = kNever;  // the last known log position
   Micros primaryAt = kNever;   // the newest time at which it is known to have been the primary
@@ -152,7 +155,7 @@
   Micros primaryAt = kNever;  // the newest time at which any member is known to have been the primary
   Micros soughtAt = kNever;
   bool probed = false;
-  std::vector<std::deque<RequestId>> held;  // by class and tenant
+  std::vector<std::deque<RequestId>> held;  // by class
   std::size_t heldCount = 0;
   bool ticking = false;
 };
@@ -203,7 +206,7 @@
 
   // The record of members.
   void update(const Member& member);
-
+  void left(Peer& peer);
   void learnRole(Peer& peer, Role role, Micros at);
   void learnReport(Peer& peer, const Report& report);
   void learnEnd(Peer& peer, const Job& job, const AttemptEnded& event);
@@ -238,13 +241,14 @@
   double warmthOf(const Peer& peer) const;
   bool coldAllows(const Peer& peer, double cost) const;
   bool blocked(const Peer& peer) const { return now_ < peer.blockedUntil; }
+  // Guards against ghosts: one that nothing but the list vouches for and that failed gets probes only.
+  bool ghost(const Peer& peer) const { return peer.doubted && peer.strikes > 0; }
   double limitOf(const Peer& peer) const { return peer.strikes > 0 ? std::min(1.0, peer.limit) : peer.limit; }
   bool paced(const Peer& peer, const Job& job) const;
   double usualOf(const Job& job) const;
   double firstLimit() const { return std::max(1.0, kLimitStart / settings_.drivers); }
   Micros fallWindow() const { return std::max(settings_.fallWindow, kMillisecond); }
   Micros askWithin() const { return std::max(settings_.askWithin, kSecond); }  // never a tight loop
-  double tenantFactor(std::size_t tenant) const;
   double priorityOf(const Job& job) const;
 
   const ClassSettings& classOf(const Job& job) const { return settings_.classes[job.request.classIndex]; }
@@ -268,7 +272,6 @@
   std::unordered_map<RequestId, Job> jobs_;
   std::unordered_map<std::uint64_t, Position> sessions_;  // each session's last write position
   std::vector<ClassRecord> classes_;
-  std::vector<double> tenantRates_;
   double mean_ = 0;  // latency of all answers
   double meanSamples_ = 0;
   double warmTaken_ = 0;  // the work that a warm member answers for this router in the contract's window
@@ -284,7 +287,6 @@
 Logic::Impl::Impl(Settings settings, std::uint64_t seed, Micros now, std::vector<Action>& out)
     : settings_(std::move(settings)), random_(seed), now_(now), out_(&out) {
   classes_.resize(settings_.classes.size());
-  tenantRates_.resize(std::max<std::size_t>(1, settings_.tenants.size()));
   for (const ClassSettings& entry : settings_.classes) {
     if (entry.consistency != Consistency::Bounded || entry.maxAge <= 0) continue;
     smallestBound_ = smallestBound_ == 0 ? entry.maxAge : std::min(smallestBound_, entry.maxAge);
@@ -304,7 +306,7 @@
 
 Group& Logic::Impl::groupOf(GroupId id) {
   Group& group = groups_[id];
-  if (group.held.empty()) group.held.resize(std::max<std::size_t>(1, classes_.size()) * tenantRates_.size());
+  if (group.held.empty()) group.held.resize(std::max<std::size_t>(1, classes_.size()));
   return group;
 }
 
@@ -334,7 +336,7 @@
     std::sort(named.begin(), named.end());
     for (auto& [id, group] : groups_) {
       for (const MemberId member : group.members) {
-        if (!std::binary_search(named.begin(), named.end(), member)) peers_.at(member).ready = false;
+        if (!std::binary_search(named.begin(), named.end(), member)) left(peers_.at(member));
       }
     }
   }
@@ -345,12 +347,20 @@
 void Logic::Impl::update(const Member& member) {
   const auto [entry, isNew] = peers_.try_emplace(member.id);
   Peer& peer = entry->second;
-  if (isNew || peer.info.group != member.group) {
+  const bool moved = isNew || peer.info.group != member.group;
+  if (moved) {
     if (!isNew) std::erase(groupOf(peer.info.group).members, member.id);
-    groupOf(member.group).members.push_back(member.id);
-    if (isNew) peer.limit = firstLimit();
+    std::vector<MemberId>& members = groupOf(member.group).members;
+    members.insert(std::lower_bound(members.begin(), members.end(), member.id), member.id);
+    peer.info = member;
+    if (isNew) {
+      peer.limit = firstLimit();
+      peer.doubted = settings_.goneIsAdvice;
+    }
   }
-  if (member.launched > peer.info.launched) {
+  if (member.state == MemberState::Gone) return left(peer);
+  const bool launched = member.launched > peer.info.launched;
+  if (launched) {
     // A new launch is new evidence: an older claim to lead is void, and the record of its health starts anew.
     if (peer.primaryAt < member.launched) peer.primaryAt = kNever;
     peer.strikes = peer.failures = 0;
@@ -360,12 +370,29 @@
   }
   if (member.leads && !(peer.info.leads && !isNew)) peer.listedAt = now_;
   if (!member.leads) peer.listedAt = kNever;
+  const Micros since = std::max(peer.info.launched, member.launched);
   peer.info = member;
-  peer.ready = member.state == MemberState::Ready;
-  if (!isNew) return;
-  std::vector<MemberId> order = groupOf(member.group).members;
-  std::sort(order.begin(), order.end());
-  for (std::size_t i = 0; i < order.size(); ++i) peers_.at(order[i]).rank = i;
+  peer.info.launched = since;
+  // Guards a drain against a list that is wrong or old: where it is only advice, a new launch ends a drain.
+  const bool still = peer.draining && settings_.goneIsAdvice && !launched;
+  peer.draining = member.state == MemberState::Draining || still;
+  peer.ready = !peer.draining;
+  peer.doubted = peer.doubted && peer.heardAt == kNever;
+  peer.listedGone = false;
+  if (!moved) return;
+  const std::vector<MemberId>& members = groupOf(member.group).members;
+  for (std::size_t i = 0; i < members.size(); ++i) peers_.at(members[i]).rank = i;
+}
+
+// The list calls it gone or leaves it out. Where that binds nothing it goes on serving, with all that is
+// known of it, but must show that it lives.
+void Logic::Impl::left(Peer& peer) {
+  if (!settings_.goneIsAdvice) {
+    peer.ready = false;
+  } else if (!peer.listedGone) {
+    peer.doubted = true;
+  }
+  peer.listedGone = true;
 }
 
 // Newer evidence wins. A claim counts from the time at which it was true, so that a late report is not news.
@@ -396,7 +423,7 @@
   Peer* listed = nullptr;
   for (const MemberId id : group.members) {
     Peer& peer = peers_.at(id);
-    if (!peer.ready || blocked(peer)) continue;
+    if (!peer.ready || blocked(peer) || ghost(peer)) continue;
     if (peer.primaryAt != kNever && peer.primaryAt == group.primaryAt && peer.primaryAt > peer.replicaAt) {
       return &peer;
     }
@@ -432,8 +459,9 @@
     Peer& peer = peers_.at(id);
     // One that lags shows little that is new: the further behind, the less often it is asked.
     const Micros rest = std::max(gap, static_cast<Micros>(kProbeGapShare * static_cast<double>(peer.lag)));
-    if (now_ - peer.position <= due || now_ - peer.probedAt < rest || blocked(peer)) continue;
-    if (peer.primaryAt != kNever && peer.primaryAt == group.primaryAt) continue;
+    if (now_ - peer.probedAt < rest || blocked(peer)) continue;
+    const bool leads = peer.primaryAt != kNever && peer.primaryAt == group.primaryAt;
+    if (!peer.doubted && (leads || now_ - peer.position <= due)) continue;
     if (probeCredit_ < 1) return;
     if (!peer.probing && peer.ready) probeCredit_ -= 1;
     probe(peer);
@@ -473,6 +501,7 @@
 // before the list tells. One that could only not be reached (no connection, silence) is not taken for that.
 void Logic::Impl::heard(Peer& peer) {
   peer.heardAt = now_;
+  peer.doubted = false;
   if (peer.lost) peer.returnedAt = now_;
   peer.lost = false;
 }
@@ -614,29 +643,13 @@
   return job.consistency == Consistency::Session ? job.token : kNever;
 }
 
-// What a request of this tenant is worth on the mean: traffic beyond its share is worth little, and a tenant
-// with more of this router's traffic than of the quotas is the one beyond it when there is too little room.
-double Logic::Impl::tenantFactor(std::size_t tenant) const {
-  if (settings_.tenants.empty() || settings_.overShareWorth >= 1) return 1;
-  double rates = 0;
-  double quotas = 0;
-  for (std::size_t i = 0; i < settings_.tenants.size(); ++i) {
-    rates += tenantRates_[i];
-    quotas += settings_.tenants[i].quotaPerSecond;
-  }
-  const double quota = settings_.tenants[tenant].quotaPerSecond;
-  if (rates <= 0 || quotas <= 0 || quota <= 0) return 1;
-  const double over = tenantRates_[tenant] / rates / (quota / quotas);
-  return over <= 1 ? 1 : 1 - (1 - 1 / over) * (1 - settings_.overShareWorth);
-}
-
 // Worth per work, growing with the time waited so that no class is left out for good.
 double Logic::Impl::priorityOf(const Job& job) const {
   const ClassSettings& entry = classOf(job);
   const double worth = entry.worth * (now_ > job.aimEnd ? entry.lateShare : 1.0);
   const double waited =
       static_cast<double>(now_ - job.arrived) / static_cast<double>(std::max<Micros>(1, entry.aim));
-  return worth * tenantFactor(job.request.tenant) * (0.5 + waited) / costOf(job);
+  return worth * (0.5 + waited) / costOf(job);
 }
 
 // ---- The path of a request ----
@@ -651,7 +664,6 @@
   job = Job{};
   job.request = request;
   job.arrived = now_;
-  if (job.request.tenant >= tenantRates_.size()) job.request.tenant = 0;
   const ClassSettings& entry = classOf(job);
   const double stretch = entry.aimStretch * static_cast<double>(request.estimate.value_or(0));
   job.aimEnd = std::min(now_ + entry.aim + static_cast<Micros>(stretch), request.deadline);
@@ -668,8 +680,6 @@
     }
     if (job.consistency == Consistency::Session && job.token == kNever) job.consistency = Consistency::Any;
   }
-  for (double& rate : tenantRates_) rate *= 0.999;
-  tenantRates_[job.request.tenant] += 1;
   probeCredit_ = std::min(kProbesSaved, probeCredit_ + kProbesPerRequest);
   repeatCredit_ = std::min(kRepeatsSaved, repeatCredit_ + kRepeatsPerRequest);
   job.probeWaitUntil = now_ + static_cast<Micros>(kProbeWaitShare * static_cast<double>(entry.aim));
@@ -736,7 +746,7 @@
   std::size_t first = group.members.size();
   for (const MemberId id : group.members) {
     const Peer& peer = peers_.at(id);
-    if (peer.ready && &peer != primary && !blocked(peer)) first = std::min(first, peer.rank);
+    if (peer.ready && &peer != primary && !blocked(peer) && !peer.doubted) first = std::min(first, peer.rank);
     listed += peer.ready ? 1 : 0;
     out += peer.ready && blocked(peer) && !peer.down ? 1 : 0;
   }
@@ -750,7 +760,8 @@
   double bestScore = 0;
   for (const MemberId id : group.members) {
     Peer& peer = peers_.at(id);
-    if (!peer.ready || &peer == primary || (blocked(peer) && (heedBlocks || peer.down))) continue;
+    if (!peer.ready || &peer == primary || ghost(peer)) continue;
+    if (blocked(peer) && (heedBlocks || peer.down)) continue;
     if (packed && peer.rank != first && waited < kPackWait) {
       limited = true;
       continue;
@@ -778,6 +789,7 @@
     double score = (peer.load / warmthOf(peer) + cost) * slownessOf(peer) * (1 + kJitter * random());
     if (packed && slownessOf(peer) < kHeavy) score = static_cast<double>(peer.rank) * kRankStep;
     if (need == kNever && now_ - peer.position > smallestBound_) score *= kBehindShare;
+    if (peer.doubted) score *= kTriedPenalty;
     for (const Try& attempt : job.tries) score *= attempt.member == id ? kTriedPenalty : 1;
     if (best == nullptr || score < bestScore) {
       best = &peer;
@@ -822,8 +834,7 @@
 }
 
 void Logic::Impl::hold(Job& job, Group& group) {
-  const std::size_t slot = job.request.classIndex * tenantRates_.size() + job.request.tenant;
-  group.held[slot].push_back(job.request.id);
+  group.held[job.request.classIndex].push_back(job.request.id);
   ++group.heldCount;
   job.held = true;
   if (!job.timed) setTimer(kGiveUpTimer, job.request.id, giveUpAt(job) - now_);
--- a/src/logic.h
+++ b/src/logic.h
@@ -36,20 +36,15 @@
   Micros window = 0;
 };
 
-struct TenantSettings {
-  double quotaPerSecond = 0;
-};
-
 struct Settings {
   std::vector<ClassSettings> classes;
-  std::vector<TenantSettings> tenants;
-  double overShareWorth = 1;
   unsigned drivers = 1;  // how many routers share the members
   Micros tick = 0;
   Guard guard = Guard::Silent;
   TokenMode tokens = TokenMode::Unknown;
-  bool mustAsk = true;   // the member list answers only when asked
-  Micros askWithin = 0;  // how long a router without a subscription may go without asking
+  bool mustAsk = true;        // the member list answers only when asked
+  Micros askWithin = 0;       // how long a router without a subscription may go without asking
+  bool goneIsAdvice = false;  // only draining binds; that the list names a member or not proves nothing
   bool mayProbe = false;
   bool mayCancel = false;
   bool parallelTries = false;
@@ -86,7 +81,6 @@
   RequestId id = 0;
   GroupId group = 0;
   std::uint32_t classIndex = 0;
-  std::uint32_t tenant = 0;
   std::uint64_t session = 0;             // 0: none
   std::optional<Micros> sinceLastWrite;  // carried token
   std::optional<Micros> estimate;        // expected work
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -106,7 +106,6 @@
   request.id = record.request;
   request.group = record.group >= 0 && record.group <= 65535 ? static_cast<GroupId>(record.group) : 65536;
   request.classIndex = record.classIndex;
-  request.tenant = record.tenant;
   request.session = record.session;
   if (settings.logic.tokens == TokenMode::Carried && record.tokenAgeMs > 0 && record.tokenAgeMs < 1e12F) {
     request.sinceLastWrite =
--- a/src/wirehost/settings.cpp
+++ b/src/wirehost/settings.cpp
@@ -113,13 +113,6 @@
   logic.tokens = tokenModeOf(readOr<std::string>(family, "TokenMode", ""));
   out.positionZero = read<Micros>(family, "PositionZero");
   out.answersShowPosition = readOr<bool>(family, "Positions", false);
-
-  if (json.contains("Tenants") && json.at("Tenants").is_array()) {
-    for (const Json& tenant : json.at("Tenants")) {
-      logic.tenants.push_back({readOr<double>(tenant, "QuotaRps", 0.0)});
-    }
-  }
-  logic.overShareWorth = readOr<double>(json, "OverShareWorth", 1.0);
   logic.drivers = std::max(1u, readOr<unsigned>(json, "Balancers", 1u));
   logic.tick = readOr<Micros>(json, "Tick", 0);
   logic.mustAsk = readOr<std::string>(json, "Discovery", "") != "push";
@@ -135,6 +128,7 @@
 
   const Json& contract = need(json, "Contract");
   logic.askWithin = readOr<Micros>(contract, "AskWithin", 0);
+  logic.goneIsAdvice = readOr<bool>(contract, "GoneIsAdvice", false);
   logic.answerSlack = readOr<Micros>(contract, "AnswerSlack", 0);
   logic.coldFrom = readOr<double>(contract, "ColdFrom", 1.0);
   logic.warmUp = readOr<Micros>(contract, "WarmUp", 0);
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -53,6 +53,12 @@
   EXPECT_EQ(settings.report.held, -1);
 }
 
+TEST(SettingsText, GoneIsAdviceOnlyWhereItIsSaid) {
+  EXPECT_FALSE(parseSettings(kSettingsText).logic.goneIsAdvice);
+  const auto said = replaced(kSettingsText, "\"Contract\": {", "\"Contract\": {\"GoneIsAdvice\": true, ");
+  EXPECT_TRUE(parseSettings(said).logic.goneIsAdvice);
+}
+
 TEST(SettingsText, UnknownKeysAreSkipped) {
   EXPECT_EQ(complaint(replaced(kSettingsText, "{\"Az\"", "{\"News\": {\"a\": [1]}, \"Az\"")), "");
 }
