Probes start at a random member and keep a reserve for reads that wait

Cause: with many routers the allowance for probes does not reach for all members, and every router spent it on the first ones by id, whose reads then crowded those; a read without a current replica went to the primary at once, since a trickle router's own count there is nearly always nought, instead of waiting for the probe on its way. Now the allowance starts at a random member, its last part is kept for reads that wait for a probe, any replica that may be current is asked for those, and a spill to the primary needs room by its limit for the read itself. Should also help any small router; it may cost a few milliseconds where a primary is idle.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -23,6 +23,8 @@
 // Guards against probes that cost more than they bring: probes earned by each request, and the most saved.
 constexpr double kProbesPerRequest = 0.3;
 constexpr double kProbesSaved = 20;
+// Keeps the last of them for reads that wait for one.
+constexpr double kProbesKept = 5;
 // Guards against reads that slide onto the primary while a probe is on its way: share of the aim.
 constexpr double kProbeWaitShare = 0.125;
 // Guards against a probe for every read that a position does not cover: share of the read's age.
@@ -455,14 +457,17 @@
   if (!group.probed) return seek(group);
   const auto due = static_cast<Micros>(kProbeAtShare * static_cast<double>(smallestBound_));
   const auto gap = static_cast<Micros>(kProbeGapShare * static_cast<double>(due));
-  for (const MemberId id : group.members) {
-    Peer& peer = peers_.at(id);
+  // From a member drawn at random: an allowance that does not reach for all must not go to the same few from
+  // every router, whose reads would then crowd those.
+  const std::size_t count = group.members.size();
+  const std::size_t start = random_() % std::max<std::size_t>(1, count);
+  for (std::size_t i = 0; i < count && probeCredit_ >= kProbesKept; ++i) {
+    Peer& peer = peers_.at(group.members[(start + i) % count]);
     // One that lags shows little that is new: the further behind, the less often it is asked.
     const Micros rest = std::max(gap, static_cast<Micros>(kProbeGapShare * static_cast<double>(peer.lag)));
     if (now_ - peer.probedAt < rest || blocked(peer)) continue;
     const bool leads = peer.primaryAt != kNever && peer.primaryAt == group.primaryAt;
     if (!peer.doubted && (leads || now_ - peer.position <= due)) continue;
-    if (probeCredit_ < 1) return;
     if (!peer.probing && peer.ready) probeCredit_ -= 1;
     probe(peer);
   }
@@ -719,7 +724,8 @@
     if (Peer* replica = chooseReplica(job, group, limited)) return replica;
     // Load limiting: wait for one of those that qualify, unless the primary has room to spare.
     const Peer* spare = limited ? primaryOf(group, false) : nullptr;
-    if (limited && (spare == nullptr || spare->load >= kSpareShare * limitOf(*spare))) return nullptr;
+    if (limited && (spare == nullptr || spare->load + costOf(job) > kSpareShare * limitOf(*spare)))
+      return nullptr;
   }
   Peer* primary = primaryOf(group, job.consistency == Consistency::Write);
   if (primary == nullptr) {
@@ -755,6 +761,7 @@
   Peer* best = nullptr;
   Peer* advanced = nullptr;
   Peer* hopeful = nullptr;  // a probe may show it current enough
+  double bestHope = 0;
   bool probing = false;
   bool known = false;
   double bestScore = 0;
@@ -771,9 +778,11 @@
     known = known || peer.position != kNever;
     if (need != kNever && peer.position < need) {
       probing = probing || peer.probing;
-      if (peer.lag <= now_ - need && now_ - peer.probedAt >= freshen &&
-          (hopeful == nullptr || peer.position > hopeful->position)) {
+      // Any of those that may be current enough, so that not all routers ask, and then crowd, the same one.
+      const double hope = room && peer.lag <= now_ - need && now_ - peer.probedAt >= freshen ? random() : 0;
+      if (hope > bestHope) {
         hopeful = &peer;
+        bestHope = hope;
       }
       const bool tried =
           std::any_of(job.tries.begin(), job.tries.end(), [&](const Try& t) { return t.member == id; });
@@ -801,8 +810,8 @@
   // Members that check reads themselves turn away what they are too far behind for, so the guess is safe.
   if (settings_.guard != Guard::Silent && advanced != nullptr && advanced->position != kNever)
     return advanced;
-  // A probe may bring what is missing, and a short wait for it spares the primary a read. Only the most
-  // advanced is asked: session reads need one member that is known to be fresh, not all of them.
+  // A probe may bring what is missing, and a short wait for it spares the primary a read. Only one is asked:
+  // a read needs one member that is known to be fresh, not all of them.
   if (known && hopeful != nullptr && !probing && probeCredit_ >= 1) {
     probeCredit_ -= 1;
     probe(*hopeful);
