Long reads are packed by their share of the work; spill by the primary's limit

By what evidence: in the saved wire the crowded members are the first replicas by id and answer as usual once the long reads are gone; the replica that timed out most took the bounded reads of others that lagged behind long reads. Now as many replicas take long reads as carry them in even parts of the replicas' work; other reads weigh these accordingly. A spill to the primary needs a limit there that is no lower than that of the full replicas, or of one while a probe is on its way. A class without answers is taken to need a quarter of its aim. It may hurt where long reads are rare but come in bursts.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -27,8 +27,6 @@
 constexpr double kProbesKept = 5;
 // Guards against reads that slide onto the primary while a probe is on its way: share of the aim.
 constexpr double kProbeWaitShare = 0.125;
-// Guards against a probe for every read that a position does not cover: share of the read's age.
-constexpr double kFreshenShare = 0.25;
 // Guards against a carried age that was rounded on its way to us.
 constexpr Micros kTokenSlack = kMillisecond;
 
@@ -47,9 +45,8 @@
 constexpr double kLimitGrowth = 0.15;
 // An answer that took more than this share of its aim tells that the member is crowded.
 constexpr double kCrowdedShare = 0.6;
-// Guards writes and fresh reads on the primary: the share of its limit that reads falling back may use.
-constexpr double kFallbackShare = 0.8;
-// And the share up to which it takes reads for which replicas qualify but have no room.
+// Guards writes and fresh reads on the primary: the share of its limit up to which it takes reads for which
+// replicas qualify but have no room.
 constexpr double kSpareShare = 0.3;
 // How fast the record of a class's and a member's latency moves, and how fast a member's is forgotten.
 constexpr double kClassGain = 0.02;
@@ -62,12 +59,13 @@
 constexpr Micros kSlownessFades = 5 * kSecond;
 // Guards against all routers choosing alike: scores differ by up to this share at random.
 constexpr double kJitter = 0.15;
-// Keeps reads that any member may serve off the current replicas: how much lighter one that lags counts.
-constexpr double kBehindShare = 0.5;
 // How long a long read waits, as a share of its aim, before it takes a replica that is current.
 constexpr double kPackWait = 0.25;
-// Puts every member that is not slow before all that are, for long reads: far below any score by load.
-constexpr double kRankStep = 1e-9;
+// How fast the record of what classes arrive moves, and the least weight of a replica that takes long reads.
+constexpr double kMixKept = 0.999;
+constexpr double kPackedLeast = 0.05;
+// The share of its aim that a class is taken to need before any of its answers is seen.
+constexpr double kUsualShare = 0.25;
 // Makes a second try prefer a member that the request has not seen, and any try one known to live.
 constexpr double kTriedPenalty = 4;
 
@@ -77,8 +75,6 @@
 // Time-outs or rejections in a row that count as a failure, and mean latencies of silence that need a probe.
 constexpr int kFailuresToBlock = 3;
 constexpr double kSilentMeans = 6;
-// Guards against a verdict of slowness that most members share: the share of a group that may be left alone.
-constexpr double kBlockedShare = 0.5;
 
 // Tries. A safe read on a doubtful member is tried elsewhere after so many mean latencies.
 constexpr double kPatienceMeans = 2;
@@ -102,6 +98,9 @@
 constexpr double kAskWait = 0.5;
 constexpr double kAskBackoff = 0.05;
 
+constexpr double real(Micros value) { return static_cast<double>(value); }
+constexpr Micros part(double share, Micros of) { return static_cast<Micros>(share * real(of)); }
+
 enum TimerKind : std::uint64_t { kGiveUpTimer, kGroupTimer, kAskTimer };
 constexpr unsigned kTimerShift = 56;
 
@@ -110,7 +109,7 @@
   double value = 0;
   Micros at = kNever;
   double now(Micros now, Micros over) const {
-    return at == kNever ? 0 : value * std::exp(-static_cast<double>(now - at) / static_cast<double>(over));
+    return at == kNever ? 0 : value * std::exp(-real(now - at) / real(over));
   }
   void add(double amount, Micros when, Micros over) {
     value = now(when, over) + amount;
@@ -124,7 +123,6 @@
   bool draining = false;  // listed so since its last launch
   bool listedGone = false;
   bool doubted = false;        // where the list is only advice: nothing but the list speaks of its state
-  std::size_t rank = 0;        // its place in its group by id, the same at every router
   Position position = kNever;  // the last known log position
   Micros primaryAt = kNever;   // the newest time at which it is known to have been the primary
   Micros replicaAt = kNever;   // the newest time at which it is known to have been a replica
@@ -136,11 +134,9 @@
 
   Micros slownessAt = kNever;
   double limit = 1;
-  Micros cutAt = kNever;
   int strikes = 0;
   int failures = 0;
   Micros blockedUntil = kNever;
-  bool down = false;  // the block rests on broken or refused connections and not on slowness
   Micros heardAt = kNever;
   bool probing = false;
   Micros probedAt = kNever;
@@ -153,8 +149,8 @@
 };
 
 struct Group {
-  std::vector<MemberId> members;
-  Micros primaryAt = kNever;  // the newest time at which any member is known to have been the primary
+  std::vector<MemberId> members;  // by id, so that their order is the same at every router
+  Micros primaryAt = kNever;      // the newest time at which any member is known to have been the primary
   Micros soughtAt = kNever;
   bool probed = false;
   std::vector<std::deque<RequestId>> held;  // by class
@@ -176,7 +172,6 @@
   Micros aimEnd = 0;
   Position token = kNever;  // the session's write that a read must see
   Consistency consistency = Consistency::Write;
-  Micros probeWaitUntil = kNever;
   std::vector<Try> tries;
   int pending = 0;
   bool over = false;
@@ -187,6 +182,7 @@
 struct ClassRecord {
   double mean = 0;  // latency of its answers
   double samples = 0;
+  double arrivals = 0;
 };
 
 }  // namespace
@@ -212,7 +208,7 @@
   void learnRole(Peer& peer, Role role, Micros at);
   void learnReport(Peer& peer, const Report& report);
   void learnEnd(Peer& peer, const Job& job, const AttemptEnded& event);
-  void strike(Peer& peer, bool down);
+  void strike(Peer& peer);
   void heard(Peer& peer);
   Peer* primaryOf(const Group& group, bool forWrite);
   void probe(Peer& peer);
@@ -223,7 +219,7 @@
   void place(Job& job, Group& group);
   bool tryPlace(Job& job, Group& group);
   Peer* choose(Job& job, Group& group);
-  Peer* chooseReplica(Job& job, Group& group, bool& limited);
+  Peer* chooseReplica(Job& job, Group& group, bool& limited, double& crowd);
   void send(Job& job, Peer& peer);
   void hold(Job& job, Group& group);
   void pump(Group& group);
@@ -238,11 +234,14 @@
   Position needOf(const Job& job) const;
   double costOf(const Job& job) const { return costOf(job.request.classIndex); }
   double costOf(std::size_t index) const;
+  bool longRead(std::size_t index) const;
+  double longShare() const;
   double recencyOf(const Peer& peer) const;
   double slownessOf(const Peer& peer) const;
   double warmthOf(const Peer& peer) const;
   bool coldAllows(const Peer& peer, double cost) const;
   bool blocked(const Peer& peer) const { return now_ < peer.blockedUntil; }
+  bool takesPacks(const Peer& peer) const { return peer.ready && !peer.doubted && !blocked(peer); }
   // Guards against ghosts: one that nothing but the list vouches for and that failed gets probes only.
   bool ghost(const Peer& peer) const { return peer.doubted && peer.strikes > 0; }
   double limitOf(const Peer& peer) const { return peer.strikes > 0 ? std::min(1.0, peer.limit) : peer.limit; }
@@ -295,8 +294,7 @@
   }
   if (smallestBound_ == 0) smallestBound_ = kSecond;
   if (settings_.mustAsk) {
-    const double spread = kAskSpread * static_cast<double>(askWithin());
-    setTimer(kAskTimer, ++askRound_, static_cast<Micros>(random() * spread));
+    setTimer(kAskTimer, ++askRound_, part(random(), part(kAskSpread, askWithin())));
   }
 }
 
@@ -324,9 +322,8 @@
     // The subscription may have broken: ask again, ever less eagerly, but within the contract's time.
     if (!settings_.mustAsk) return;
     subscribed_ = false;
-    const auto base = static_cast<double>(askWithin());
     const double wait = std::min(kAskWait, kAskBackoff * std::exp2(std::min(askFailures_++, 8)));
-    setTimer(kAskTimer, ++askRound_, static_cast<Micros>(base * wait * (0.5 + 0.5 * random())));
+    setTimer(kAskTimer, ++askRound_, part(wait * (0.5 + 0.5 * random()), askWithin()));
     return;
   }
   if (asked_) subscribed_ = true;
@@ -349,8 +346,7 @@
 void Logic::Impl::update(const Member& member) {
   const auto [entry, isNew] = peers_.try_emplace(member.id);
   Peer& peer = entry->second;
-  const bool moved = isNew || peer.info.group != member.group;
-  if (moved) {
+  if (isNew || peer.info.group != member.group) {
     if (!isNew) std::erase(groupOf(peer.info.group).members, member.id);
     std::vector<MemberId>& members = groupOf(member.group).members;
     members.insert(std::lower_bound(members.begin(), members.end(), member.id), member.id);
@@ -370,8 +366,7 @@
     peer.slowness = 1;
     peer.limit = std::min(peer.limit, firstLimit());
   }
-  if (member.leads && !(peer.info.leads && !isNew)) peer.listedAt = now_;
-  if (!member.leads) peer.listedAt = kNever;
+  peer.listedAt = !member.leads ? kNever : peer.listedAt == kNever ? now_ : peer.listedAt;
   const Micros since = std::max(peer.info.launched, member.launched);
   peer.info = member;
   peer.info.launched = since;
@@ -381,9 +376,6 @@
   peer.ready = !peer.draining;
   peer.doubted = peer.doubted && peer.heardAt == kNever;
   peer.listedGone = false;
-  if (!moved) return;
-  const std::vector<MemberId>& members = groupOf(member.group).members;
-  for (std::size_t i = 0; i < members.size(); ++i) peers_.at(members[i]).rank = i;
 }
 
 // The list calls it gone or leaves it out. Where that binds nothing it goes on serving, with all that is
@@ -455,8 +447,8 @@
 
 void Logic::Impl::probeStale(Group& group) {
   if (!group.probed) return seek(group);
-  const auto due = static_cast<Micros>(kProbeAtShare * static_cast<double>(smallestBound_));
-  const auto gap = static_cast<Micros>(kProbeGapShare * static_cast<double>(due));
+  const auto due = part(kProbeAtShare, smallestBound_);
+  const auto gap = part(kProbeGapShare, due);
   // From a member drawn at random: an allowance that does not reach for all must not go to the same few from
   // every router, whose reads would then crowd those.
   const std::size_t count = group.members.size();
@@ -464,7 +456,7 @@
   for (std::size_t i = 0; i < count && probeCredit_ >= kProbesKept; ++i) {
     Peer& peer = peers_.at(group.members[(start + i) % count]);
     // One that lags shows little that is new: the further behind, the less often it is asked.
-    const Micros rest = std::max(gap, static_cast<Micros>(kProbeGapShare * static_cast<double>(peer.lag)));
+    const Micros rest = std::max(gap, part(kProbeGapShare, peer.lag));
     if (now_ - peer.probedAt < rest || blocked(peer)) continue;
     const bool leads = peer.primaryAt != kNever && peer.primaryAt == group.primaryAt;
     if (!peer.doubted && (leads || now_ - peer.position <= due)) continue;
@@ -487,18 +479,17 @@
       peer->lagAt = now_;
     }
   } else {
-    strike(*peer, true);
+    strike(*peer);
   }
   pump(groupOf(peer->info.group));
 }
 
 // A failure that tells of the member and not of the request: leave it alone for a while, then try it again.
 // Many attempts that break together are one failure.
-void Logic::Impl::strike(Peer& peer, bool down) {
+void Logic::Impl::strike(Peer& peer) {
   if (blocked(peer)) return;
   peer.strikes = std::min(peer.strikes + 1, 8);
   peer.failures = 0;
-  peer.down = down;
   peer.blockedUntil = now_ + std::min(kBlockMost, kBlockLeast << (peer.strikes - 1));
 }
 
@@ -527,12 +518,12 @@
   }
   learnReport(peer, event.report);
   if (event.outcome == Outcome::Reset) peer.lost = true;
-  if (event.outcome == Outcome::ConnectFailed || event.outcome == Outcome::Reset) return strike(peer, true);
+  if (event.outcome == Outcome::ConnectFailed || event.outcome == Outcome::Reset) return strike(peer);
   const bool shut = event.outcome == Outcome::Full;
-  if ((shut || event.outcome == Outcome::TimedOut) && ++peer.failures >= kFailuresToBlock) strike(peer, shut);
+  if ((shut || event.outcome == Outcome::TimedOut) && ++peer.failures >= kFailuresToBlock) strike(peer);
 
   ClassRecord& record = classes_[job.request.classIndex];
-  const auto elapsed = static_cast<double>(event.elapsed);
+  const auto elapsed = real(event.elapsed);
   if (event.outcome == Outcome::Ok) {
     record.samples += 1;
     record.mean += (elapsed - record.mean) * std::max(kClassGain, 1 / record.samples);
@@ -550,7 +541,7 @@
   }
   // Load limiting (section 3.2 of the paper) with a limit that is learned: it grows while answers come well
   // inside their aim and shrinks when they do not, whoever caused the crowd.
-  const bool late = elapsed > kCrowdedShare * static_cast<double>(classOf(job).aim);
+  const bool late = elapsed > kCrowdedShare * real(classOf(job).aim);
   if (event.outcome == Outcome::Full || event.outcome == Outcome::TimedOut ||
       (event.outcome == Outcome::Ok && late)) {
     peer.limit = std::max(kLimitLeast, peer.limit * kLimitCut);
@@ -563,12 +554,30 @@
 
 double Logic::Impl::costOf(std::size_t index) const {
   const ClassRecord& record = classes_[index];
-  return record.mean > 0 && mean_ > 0 ? record.mean / mean_ : 1.0;
+  const double aim = real(settings_.classes[index].aim);
+  return mean_ <= 0 ? 1.0 : (record.mean > 0 ? record.mean : kUsualShare * aim) / mean_;
+}
+
+// Long reads may stop the log on the replica that holds them, and nothing says which do.
+bool Logic::Impl::longRead(std::size_t index) const {
+  return settings_.classes[index].consistency == Consistency::Any && costOf(index) > kHeavy;
+}
+
+// The share of the replicas' work that long reads are.
+double Logic::Impl::longShare() const {
+  double total = 0, heavy = 0;
+  for (std::size_t i = 0; i < classes_.size(); ++i) {
+    const Consistency kind = settings_.classes[i].consistency;
+    if (kind == Consistency::Write || kind == Consistency::Fresh) continue;
+    total += classes_[i].arrivals * costOf(i);
+    if (longRead(i)) heavy += classes_[i].arrivals * costOf(i);
+  }
+  return total > 0 ? heavy / total : 0;
 }
 
 double Logic::Impl::recencyOf(const Peer& peer) const {
   if (peer.slownessAt == kNever) return 0;
-  return std::max(0.0, 1 - static_cast<double>(now_ - peer.slownessAt) / static_cast<double>(kSlownessFades));
+  return std::max(0.0, 1 - real(now_ - peer.slownessAt) / real(kSlownessFades));
 }
 
 double Logic::Impl::slownessOf(const Peer& peer) const {
@@ -579,8 +588,8 @@
 double Logic::Impl::warmthOf(const Peer& peer) const {
   const Micros since = peer.lost ? now_ : std::max(peer.info.launched, peer.returnedAt);
   if (since <= 0 || settings_.warmUp <= 0) return 1;
-  const auto age = static_cast<double>(std::max<Micros>(0, now_ - since));
-  const double share = std::min(1.0, age / static_cast<double>(settings_.warmUp));
+  const auto age = real(std::max<Micros>(0, now_ - since));
+  const double share = std::min(1.0, age / real(settings_.warmUp));
   return settings_.coldFrom + (1 - settings_.coldFrom) * share;
 }
 
@@ -595,13 +604,13 @@
   const double used = peer.sent.now(now_, fallWindow()) + cost;
   if (used <= std::min(kColdMost, kColdShare * settings_.fallMultiple) * warmth * warmTaken_) return true;
   if (peer.inFlight > 0 || cost > kHeavy || mean_ <= 0) return false;
-  const double core = settings_.fallMultiple * warmth * static_cast<double>(fallWindow()) / mean_;
+  const double core = settings_.fallMultiple * warmth * real(fallWindow()) / mean_;
   return used <= kColdShare * core / settings_.drivers;
 }
 
 // Many routers with one request each are a crowd too: a limit below one spaces its requests out.
 bool Logic::Impl::paced(const Peer& peer, const Job& job) const {
-  return peer.limit >= 1 || static_cast<double>(now_ - peer.sent.at) >= usualOf(job) * (1 / peer.limit - 1);
+  return peer.limit >= 1 || real(now_ - peer.sent.at) >= usualOf(job) * (1 / peer.limit - 1);
 }
 
 // The one place that says whether an attempt may be made, given those before it.
@@ -616,11 +625,7 @@
     // Repeats are discarded within the window from the first attempt that may have run, and within its scope.
     if (now_ + 2 * settings_.tick >= attempt.sentAt + entry.window) return false;
     if (target == nullptr || target->info.id == attempt.member) continue;
-    if (entry.scope == KeyScope::Member) return false;
-    if (entry.scope == KeyScope::Zone) {
-      const auto first = peers_.find(attempt.member);
-      if (first == peers_.end() || first->second.info.zone != target->info.zone) return false;
-    }
+    if (entry.scope == KeyScope::Member || entry.scope == KeyScope::Zone) return false;
   }
   return true;
 }
@@ -633,7 +638,7 @@
 }
 
 double Logic::Impl::usualOf(const Job& job) const {
-  return std::min(classes_[job.request.classIndex].mean, kUsualMost * static_cast<double>(classOf(job).aim));
+  return std::min(classes_[job.request.classIndex].mean, kUsualMost * real(classOf(job).aim));
 }
 
 // When a request that waits here is worth nothing any more. Refused then, at once, not at its deadline.
@@ -652,8 +657,7 @@
 double Logic::Impl::priorityOf(const Job& job) const {
   const ClassSettings& entry = classOf(job);
   const double worth = entry.worth * (now_ > job.aimEnd ? entry.lateShare : 1.0);
-  const double waited =
-      static_cast<double>(now_ - job.arrived) / static_cast<double>(std::max<Micros>(1, entry.aim));
+  const double waited = real(now_ - job.arrived) / real(std::max<Micros>(1, entry.aim));
   return worth * (0.5 + waited) / costOf(job);
 }
 
@@ -670,8 +674,8 @@
   job.request = request;
   job.arrived = now_;
   const ClassSettings& entry = classOf(job);
-  const double stretch = entry.aimStretch * static_cast<double>(request.estimate.value_or(0));
-  job.aimEnd = std::min(now_ + entry.aim + static_cast<Micros>(stretch), request.deadline);
+  const Micros stretch = part(entry.aimStretch, request.estimate.value_or(0));
+  job.aimEnd = std::min(now_ + entry.aim + stretch, request.deadline);
   job.consistency = entry.consistency;
   if (entry.consistency == Consistency::Session) {
     if (settings_.tokens == TokenMode::Carried) {
@@ -685,9 +689,10 @@
     }
     if (job.consistency == Consistency::Session && job.token == kNever) job.consistency = Consistency::Any;
   }
+  for (ClassRecord& record : classes_) record.arrivals *= kMixKept;
+  classes_[request.classIndex].arrivals += 1;
   probeCredit_ = std::min(kProbesSaved, probeCredit_ + kProbesPerRequest);
   repeatCredit_ = std::min(kRepeatsSaved, repeatCredit_ + kRepeatsPerRequest);
-  job.probeWaitUntil = now_ + static_cast<Micros>(kProbeWaitShare * static_cast<double>(entry.aim));
   Group& group = groupOf(request.group);
   probeStale(group);
   // A marked repeat has most likely spent its aim on earlier tries: where late answers are worth nothing, it
@@ -721,10 +726,12 @@
   const bool toPrimary = job.consistency == Consistency::Write || job.consistency == Consistency::Fresh;
   if (!toPrimary) {
     bool limited = false;
-    if (Peer* replica = chooseReplica(job, group, limited)) return replica;
+    double crowd = 0;  // the highest limit of the replicas that have no room
+    if (Peer* replica = chooseReplica(job, group, limited, crowd)) return replica;
     // Load limiting: wait for one of those that qualify, unless the primary has room to spare.
     const Peer* spare = limited ? primaryOf(group, false) : nullptr;
-    if (limited && (spare == nullptr || spare->load + costOf(job) > kSpareShare * limitOf(*spare)))
+    if (limited &&
+        (spare == nullptr || spare->load >= kSpareShare * limitOf(*spare) || limitOf(*spare) < crowd))
       return nullptr;
   }
   Peer* primary = primaryOf(group, job.consistency == Consistency::Write);
@@ -732,32 +739,28 @@
     seek(group);  // no guess: a server that may be stale gets no read
     return nullptr;
   }
-  const double room = limitOf(*primary) * (toPrimary ? 1.0 : kFallbackShare);
-  if (primary->load >= room || !paced(*primary, job) || !coldAllows(*primary, costOf(job))) return nullptr;
+  if (primary->load >= limitOf(*primary) || !paced(*primary, job) || !coldAllows(*primary, costOf(job)))
+    return nullptr;
   return primary;
 }
 
-Peer* Logic::Impl::chooseReplica(Job& job, Group& group, bool& limited) {
+Peer* Logic::Impl::chooseReplica(Job& job, Group& group, bool& limited, double& crowd) {
   const Position need = needOf(job);
   const double cost = costOf(job);
-  // Long reads may stop the log on the replica that holds them, and nothing says which do. Spread over all
-  // they would leave none current, so all routers pack them on the first by id, while they can wait.
-  const bool packed = need == kNever && cost > kHeavy;
-  const double waited =
-      static_cast<double>(now_ - job.arrived) / static_cast<double>(std::max<Micros>(1, classOf(job).aim));
-  const auto freshen = static_cast<Micros>(kFreshenShare * static_cast<double>(now_ - need));
+  // Spread over all replicas, long reads would leave none current, so all routers pack them on the first by
+  // id, while they can wait: on as many as it takes for these to carry no more than their even part.
+  const bool packed = longRead(job.request.classIndex);
+  const double waited = real(now_ - job.arrived) / real(std::max<Micros>(1, classOf(job).aim));
+  const auto freshen = part(kProbeGapShare, now_ - need);
   const Peer* primary = primaryOf(group, false);
-  std::size_t listed = 0;
-  std::size_t out = 0;
-  std::size_t first = group.members.size();
+  double even = 0;
   for (const MemberId id : group.members) {
     const Peer& peer = peers_.at(id);
-    if (peer.ready && &peer != primary && !blocked(peer) && !peer.doubted) first = std::min(first, peer.rank);
-    listed += peer.ready ? 1 : 0;
-    out += peer.ready && blocked(peer) && !peer.down ? 1 : 0;
+    if (&peer != primary && takesPacks(peer)) even += 1;
   }
-  // If most look slow, it is not them: trust the load, not the verdict. Refused connections are no verdict.
-  const bool heedBlocks = static_cast<double>(out) <= kBlockedShare * static_cast<double>(listed);
+  const double heavy = longShare() * even;  // in even parts
+  const double packs = std::max(1.0, std::ceil(heavy));
+  double place = 0;
   Peer* best = nullptr;
   Peer* advanced = nullptr;
   Peer* hopeful = nullptr;  // a probe may show it current enough
@@ -767,19 +770,21 @@
   double bestScore = 0;
   for (const MemberId id : group.members) {
     Peer& peer = peers_.at(id);
-    if (!peer.ready || &peer == primary || ghost(peer)) continue;
-    if (blocked(peer) && (heedBlocks || peer.down)) continue;
-    if (packed && peer.rank != first && waited < kPackWait) {
+    if (!peer.ready || &peer == primary || ghost(peer) || blocked(peer)) continue;
+    const bool takes = takesPacks(peer) && ++place <= packs;
+    if (packed && !takes && waited < kPackWait) {
       limited = true;
       continue;
     }
+    const double weight = takes && !packed ? std::max(kPackedLeast, 1 - heavy / packs) : 1;
     const double load = packed ? peer.inFlight : peer.load;
     const bool room = load < limitOf(peer) && paced(peer, job) && coldAllows(peer, cost);
     known = known || peer.position != kNever;
     if (need != kNever && peer.position < need) {
       probing = probing || peer.probing;
       // Any of those that may be current enough, so that not all routers ask, and then crowd, the same one.
-      const double hope = room && peer.lag <= now_ - need && now_ - peer.probedAt >= freshen ? random() : 0;
+      const bool may = room && peer.lag <= now_ - need && now_ - peer.probedAt >= freshen;
+      const double hope = may ? weight * random() : 0;
       if (hope > bestHope) {
         hopeful = &peer;
         bestHope = hope;
@@ -793,11 +798,11 @@
     }
     if (!room) {
       limited = true;
+      crowd = std::max(crowd, limitOf(peer));
       continue;
     }
-    double score = (peer.load / warmthOf(peer) + cost) * slownessOf(peer) * (1 + kJitter * random());
-    if (packed && slownessOf(peer) < kHeavy) score = static_cast<double>(peer.rank) * kRankStep;
-    if (need == kNever && now_ - peer.position > smallestBound_) score *= kBehindShare;
+    const double work = (peer.load / warmthOf(peer) + cost) / weight;
+    double score = work * slownessOf(peer) * (1 + kJitter * random());
     if (peer.doubted) score *= kTriedPenalty;
     for (const Try& attempt : job.tries) score *= attempt.member == id ? kTriedPenalty : 1;
     if (best == nullptr || score < bestScore) {
@@ -815,9 +820,10 @@
   if (known && hopeful != nullptr && !probing && probeCredit_ >= 1) {
     probeCredit_ -= 1;
     probe(*hopeful);
-    probing = hopeful->probing;
+    probing = true;
   }
-  limited = known && probing && now_ < job.probeWaitUntil;
+  limited = known && probing && waited < kProbeWaitShare;
+  crowd = 1;
   return nullptr;
 }
 
@@ -870,19 +876,14 @@
       auto& line = group.held[slot];
       if (stuck[slot]) continue;
       while (!line.empty()) {
-        const auto found = jobs_.find(line.back());
-        if (found != jobs_.end() && found->second.held) {
-          if (now_ < giveUpAt(found->second)) break;
-          Job& late = found->second;
-          line.pop_back();
-          --group.heldCount;
-          const RequestId id = late.request.id;
-          conclude(late);
-          eraseIfDone(id);
-          continue;
-        }
+        const RequestId id = line.back();
+        const auto found = jobs_.find(id);
+        const bool waits = found != jobs_.end() && found->second.held;
+        if (waits && now_ < giveUpAt(found->second)) break;
+        if (waits) conclude(found->second);
         line.pop_back();
         --group.heldCount;
+        eraseIfDone(id);
       }
       if (line.empty()) continue;
       Job& job = jobs_.at(line.back());
@@ -992,8 +993,7 @@
       if (what != askRound_ || subscribed_) return;
       asked_ = true;
       act(Subscribe{});
-      return setTimer(kAskTimer, ++askRound_,
-                      static_cast<Micros>(kAskWait * static_cast<double>(askWithin())));
+      return setTimer(kAskTimer, ++askRound_, part(kAskWait, askWithin()));
     default:
       return;
   }
