Jammed groups turn requests away by a record that counts requests, not time

Evidence that the failing servers were not the cause: their answers stay as many a second while their times grow, then all are late at twice the requests, and they go on taking in and turning away at once. Now each router keeps, for a group's replicas and for its primary, how much of the last few requests was served in time, and turns away what goes beyond one and a half times that, in proportion to what a class loses by being late. A full member is left alone for about 250 ms. A time-out without a word from the member is asked about by a probe. An error counts as the slowest answer. Should hold against any jam that outlasts patience. It may hurt where a class is slow by nature and its aim too short.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -21,10 +21,7 @@
 // Guards against asking a member again before it can have anything new to say: share of the age that is due.
 constexpr double kProbeGapShare = 0.5;
 // Guards against probes that cost more than they bring: probes earned by each request, and the most saved.
-constexpr double kProbesPerRequest = 0.3;
-constexpr double kProbesSaved = 20;
-// Keeps the last of them for reads that wait for one.
-constexpr double kProbesKept = 5;
+constexpr double kProbesPerRequest = 0.1, kProbesSaved = 20;
 // Guards against reads that slide onto the primary while a probe is on its way: share of the aim.
 constexpr double kProbeWaitShare = 0.125;
 // Guards against a carried age that was rounded on its way to us.
@@ -37,66 +34,54 @@
 
 // Load. A member's limit starts here, keeps to these ends, and is cut by this factor by a late answer.
 constexpr double kLimitStart = 24;  // of all routers together, at least one each
-constexpr double kLimitLeast = 0.25;
-constexpr double kLimitMost = 64;
-constexpr double kLimitCut = 0.9;
-// It grows by one request for each limit's worth of answers, but by no more than this share an answer: a low
-// limit then falls further only while most answers are late, and no few late ones leave it at the bottom.
+constexpr double kLimitLeast = 0.25, kLimitMost = 64, kLimitCut = 0.9;
+// It grows by one request for each limit's worth of answers, but by no more than this share an answer, so
+// that a low limit falls further only while most answers are late.
 constexpr double kLimitGrowth = 0.15;
 // An answer that took more than this share of its aim tells that the member is crowded.
 constexpr double kCrowdedShare = 0.6;
-// Guards writes and fresh reads on the primary: the share of its limit up to which it takes reads for which
-// replicas qualify but have no room.
+// Guards writes on the primary: up to this share of its limit it takes reads that replicas have no room for.
 constexpr double kSpareShare = 0.3;
 // How fast the record of a class's and a member's latency moves, and how fast a member's is forgotten.
 constexpr double kClassGain = 0.02;
-constexpr double kSlownessGain = 0.1;
-constexpr double kSlownessMost = 20;
-// Guards against a member that loses or fails a part of its work and looks fast by the rest: how much that
-// counts.
-constexpr double kFailingWeight = 8;
-constexpr double kFailingGain = 0.05;
+constexpr double kSlownessGain = 0.1, kSlownessMost = 20;
 constexpr Micros kSlownessFades = 5 * kSecond;
 // Guards against all routers choosing alike: scores differ by up to this share at random.
 constexpr double kJitter = 0.15;
 // How long a long read waits, as a share of its aim, before it takes a replica that is current.
 constexpr double kPackWait = 0.25;
 // How fast the record of what classes arrive moves, and the least weight of a replica that takes long reads.
-constexpr double kMixKept = 0.999;
-constexpr double kPackedLeast = 0.05;
-// The share of its aim that a class is taken to need before any of its answers is seen.
-constexpr double kUsualShare = 0.25;
+constexpr double kMixKept = 0.999, kPackedLeast = 0.05;
 // Makes a second try prefer a member that the request has not seen, and any try one known to live.
 constexpr double kTriedPenalty = 4;
 
 // Health. A member that fails is left alone for this long, doubled with each further failure up to the most.
-constexpr Micros kBlockLeast = 250 * kMillisecond;
-constexpr Micros kBlockMost = 4 * kSecond;
-// Time-outs or rejections in a row that count as a failure, and mean latencies of silence that need a probe.
+constexpr Micros kBlockLeast = 250 * kMillisecond, kBlockMost = 4 * kSecond;
+// Time-outs in a row that count as a failure, and mean latencies of silence that need a probe.
 constexpr int kFailuresToBlock = 3;
 constexpr double kSilentMeans = 6;
 
-// Tries. A safe read on a doubtful member is tried elsewhere after so many mean latencies.
-constexpr double kPatienceMeans = 2;
-// Guards against repeats that multiply an overload: repeats earned by each request, and the most saved.
-constexpr double kRepeatsPerRequest = 0.1;
-constexpr double kRepeatsSaved = 10;
+// Guards a jammed group where routers see too little to limit themselves member by member: requests are
+// turned away beyond this multiple of what was lately served in time. How fast that record moves.
+constexpr double kServedMultiple = 1.5, kRecordGain = 0.2;
+// Guards a full member against being asked again and again.
+constexpr Micros kFullPause = 250 * kMillisecond;
+
+// Tries. Guards against repeats that multiply an overload: what each request earns, and the most saved.
+constexpr double kRepeatsPerRequest = 0.1, kRepeatsSaved = 10;
 // A held request is turned away when less than a usual latency is left of its aim. Guards against refusing
 // all since that latency was learned in a jam: it never counts for more than this share of the aim.
 constexpr double kUsualMost = 0.5;
 
 // Cold members. The share of what the contract allows that this router uses, and the most that is of use.
-constexpr double kColdShare = 0.7;
-constexpr double kColdMost = 1.0;
+constexpr double kColdShare = 0.7, kColdMost = 1.0;
 // How fast the record of what warm members take moves.
 constexpr double kTakenGain = 0.01;
 // A request of more than this many usual ones is too heavy for a member that is only tried.
 constexpr double kHeavy = 2;
 
 // Discovery. Shares of the time within which a router must ask: to spread first calls, wait, and back off.
-constexpr double kAskSpread = 0.02;
-constexpr double kAskWait = 0.5;
-constexpr double kAskBackoff = 0.05;
+constexpr double kAskSpread = 0.02, kAskWait = 0.5, kAskBackoff = 0.05;
 
 constexpr double real(Micros value) { return static_cast<double>(value); }
 constexpr Micros part(double share, Micros of) { return static_cast<Micros>(share * real(of)); }
@@ -130,13 +115,12 @@
   int inFlight = 0;
   double load = 0;  // own requests in flight, each weighed by its class
   double slowness = 1;
-  double failing = 0;  // share of attempts that brought no answer
-
   Micros slownessAt = kNever;
   double limit = 1;
   int strikes = 0;
-  int failures = 0;
+  int failures = 0;  // time-outs in a row
   Micros blockedUntil = kNever;
+  Micros pausedUntil = kNever;  // it was full
   Micros heardAt = kNever;
   bool probing = false;
   Micros probedAt = kNever;
@@ -148,13 +132,29 @@
   Fading taken;                // work it has answered
 };
 
+// What was lately asked of a group's replicas, or of its primary, and how much of it was served in time. It
+// goes by requests and not by time, so that it tells a router with little traffic as much as a busy one.
+struct Record {
+  double asked = 0;
+  double served = 0;
+  void add(double good) {
+    asked += 1 - asked * kRecordGain;
+    served += good - served * kRecordGain;
+  }
+  // Whether a request with this luck, of 0 to 1, is one too many. What is worth something late may wait.
+  bool jammed(double luck, double late) const {
+    return luck * (asked + 1) < (1 - late) * (asked - kServedMultiple * served);
+  }
+};
+
 struct Group {
   std::vector<MemberId> members;  // by id, so that their order is the same at every router
   Micros primaryAt = kNever;      // the newest time at which any member is known to have been the primary
   Micros soughtAt = kNever;
-  bool probed = false;
   std::vector<std::deque<RequestId>> held;  // by class
   std::size_t heldCount = 0;
+  Record replicas;
+  Record primary;
   bool ticking = false;
 };
 
@@ -174,15 +174,16 @@
   Consistency consistency = Consistency::Write;
   std::vector<Try> tries;
   int pending = 0;
+  double luck = 0;
   bool over = false;
   bool held = false;
-  bool timed = false;
 };
 
-struct ClassRecord {
-  double mean = 0;  // latency of its answers
+// A mean that moves, and that few samples move faster.
+struct Mean {
+  double value = 0;
   double samples = 0;
-  double arrivals = 0;
+  void add(double sample) { value += (sample - value) * std::max(kClassGain, 1 / ++samples); }
 };
 
 }  // namespace
@@ -206,8 +207,9 @@
   void update(const Member& member);
   void left(Peer& peer);
   void learnRole(Peer& peer, Role role, Micros at);
+  void learnPosition(Peer& peer, Position position);
   void learnReport(Peer& peer, const Report& report);
-  void learnEnd(Peer& peer, const Job& job, const AttemptEnded& event);
+  void learnEnd(Peer& peer, const Job& job, Micros sentAt, const AttemptEnded& event);
   void strike(Peer& peer);
   void heard(Peer& peer);
   Peer* primaryOf(const Group& group, bool forWrite);
@@ -219,7 +221,7 @@
   void place(Job& job, Group& group);
   bool tryPlace(Job& job, Group& group);
   Peer* choose(Job& job, Group& group);
-  Peer* chooseReplica(Job& job, Group& group, bool& limited, double& crowd);
+  Peer* chooseReplica(Job& job, Group& group, std::optional<double>& crowd);
   void send(Job& job, Peer& peer);
   void hold(Job& job, Group& group);
   void pump(Group& group);
@@ -232,6 +234,9 @@
   bool mayRefuse(const Job& job) const;
   Micros giveUpAt(const Job& job) const;
   Position needOf(const Job& job) const;
+  bool needsPrimary(const Job& job) const {
+    return job.consistency == Consistency::Write || job.consistency == Consistency::Fresh;
+  }
   double costOf(const Job& job) const { return costOf(job.request.classIndex); }
   double costOf(std::size_t index) const;
   bool longRead(std::size_t index) const;
@@ -272,9 +277,11 @@
   std::map<GroupId, Group> groups_;
   std::unordered_map<RequestId, Job> jobs_;
   std::unordered_map<std::uint64_t, Position> sessions_;  // each session's last write position
-  std::vector<ClassRecord> classes_;
-  double mean_ = 0;  // latency of all answers
-  double meanSamples_ = 0;
+  std::vector<Mean> latencies_;                           // of each class's answers
+  std::vector<double> arrivals_;
+  double allWork_ = 0;    // sent lately
+  double ledWork_ = 0;    // and of that to primaries
+  Mean mean_;             // latency of all answers
   double warmTaken_ = 0;  // the work that a warm member answers for this router in the contract's window
   double probeCredit_ = kProbesSaved;
   double repeatCredit_ = kRepeatsSaved;
@@ -287,15 +294,14 @@
 
 Logic::Impl::Impl(Settings settings, std::uint64_t seed, Micros now, std::vector<Action>& out)
     : settings_(std::move(settings)), random_(seed), now_(now), out_(&out) {
-  classes_.resize(settings_.classes.size());
+  latencies_.resize(settings_.classes.size());
+  arrivals_.resize(settings_.classes.size());
   for (const ClassSettings& entry : settings_.classes) {
     if (entry.consistency != Consistency::Bounded || entry.maxAge <= 0) continue;
     smallestBound_ = smallestBound_ == 0 ? entry.maxAge : std::min(smallestBound_, entry.maxAge);
   }
   if (smallestBound_ == 0) smallestBound_ = kSecond;
-  if (settings_.mustAsk) {
-    setTimer(kAskTimer, ++askRound_, part(random(), part(kAskSpread, askWithin())));
-  }
+  if (settings_.mustAsk) setTimer(kAskTimer, ++askRound_, part(random(), part(kAskSpread, askWithin())));
 }
 
 void Logic::Impl::handle(Micros now, const Event& event, std::vector<Action>& out) {
@@ -306,7 +312,7 @@
 
 Group& Logic::Impl::groupOf(GroupId id) {
   Group& group = groups_[id];
-  if (group.held.empty()) group.held.resize(std::max<std::size_t>(1, classes_.size()));
+  if (group.held.empty()) group.held.resize(std::max<std::size_t>(1, latencies_.size()));
   return group;
 }
 
@@ -378,8 +384,7 @@
   peer.listedGone = false;
 }
 
-// The list calls it gone or leaves it out. Where that binds nothing it goes on serving, with all that is
-// known of it, but must show that it lives.
+// Gone, or left out by the list. Where that binds nothing it goes on as it was, but must show that it lives.
 void Logic::Impl::left(Peer& peer) {
   if (!settings_.goneIsAdvice) {
     peer.ready = false;
@@ -400,8 +405,14 @@
   }
 }
 
+void Logic::Impl::learnPosition(Peer& peer, Position position) {
+  peer.position = std::max(peer.position, position);
+  peer.lag = now_ - position;
+  peer.lagAt = now_;
+}
+
 void Logic::Impl::learnReport(Peer& peer, const Report& report) {
-  if (report.position) peer.position = std::max(peer.position, *report.position);
+  if (report.position) learnPosition(peer, *report.position);
   if (!report.role) return;
   // A primary's position is the time of its report, and a replica's report is no older than its position.
   // Without a position the report may be as old as any: it then counts only while no answer has spoken.
@@ -439,21 +450,20 @@
 
 // Asks every member of a group who leads: a fresh router once, and while the group has no primary.
 void Logic::Impl::seek(Group& group) {
-  group.probed = true;
   if (now_ - group.soughtAt < kSeekEvery) return;
   group.soughtAt = now_;
   for (const MemberId id : group.members) probe(peers_.at(id));
 }
 
 void Logic::Impl::probeStale(Group& group) {
-  if (!group.probed) return seek(group);
+  if (group.soughtAt == kNever) return seek(group);
   const auto due = part(kProbeAtShare, smallestBound_);
   const auto gap = part(kProbeGapShare, due);
   // From a member drawn at random: an allowance that does not reach for all must not go to the same few from
   // every router, whose reads would then crowd those.
   const std::size_t count = group.members.size();
   const std::size_t start = random_() % std::max<std::size_t>(1, count);
-  for (std::size_t i = 0; i < count && probeCredit_ >= kProbesKept; ++i) {
+  for (std::size_t i = 0; i < count && probeCredit_ >= 1; ++i) {
     Peer& peer = peers_.at(group.members[(start + i) % count]);
     // One that lags shows little that is new: the further behind, the less often it is asked.
     const Micros rest = std::max(gap, part(kProbeGapShare, peer.lag));
@@ -474,10 +484,6 @@
     peer->strikes = peer->failures = 0;
     peer->blockedUntil = kNever;
     learnReport(*peer, event.report);
-    if (event.report.position) {
-      peer->lag = now_ - *event.report.position;
-      peer->lagAt = now_;
-    }
   } else {
     strike(*peer);
   }
@@ -502,50 +508,54 @@
   peer.lost = false;
 }
 
-void Logic::Impl::learnEnd(Peer& peer, const Job& job, const AttemptEnded& event) {
+void Logic::Impl::learnEnd(Peer& peer, const Job& job, Micros sentAt, const AttemptEnded& event) {
   const bool answered = event.outcome == Outcome::Ok || event.outcome == Outcome::Error ||
                         event.outcome == Outcome::Full || event.outcome == Outcome::Miss;
   if (answered) {
     heard(peer);
-    if (event.outcome != Outcome::Full) peer.strikes = peer.failures = 0;
+    peer.strikes = peer.failures = 0;
     if (event.role) learnRole(peer, *event.role, now_);
     // For a write that went through the position is its commit, which the primary holds.
-    if (event.position) {
-      peer.position = std::max(peer.position, *event.position);
-      peer.lag = now_ - *event.position;
-      peer.lagAt = now_;
-    }
+    if (event.position) learnPosition(peer, *event.position);
   }
   learnReport(peer, event.report);
   if (event.outcome == Outcome::Reset) peer.lost = true;
   if (event.outcome == Outcome::ConnectFailed || event.outcome == Outcome::Reset) return strike(peer);
-  const bool shut = event.outcome == Outcome::Full;
-  if ((shut || event.outcome == Outcome::TimedOut) && ++peer.failures >= kFailuresToBlock) strike(peer);
+  if (event.outcome == Outcome::TimedOut && ++peer.failures >= kFailuresToBlock) strike(peer);
+  // Guards against a member that is down without a word: our few requests there would not tell for long.
+  if (event.outcome == Outcome::TimedOut && peer.heardAt <= sentAt && now_ - peer.probedAt > kSeekEvery)
+    probe(peer);
+  if (event.outcome == Outcome::Full) peer.pausedUntil = now_ + part(0.5 + random(), kFullPause);
+  const bool ok = event.outcome == Outcome::Ok;
+  const bool unserved = event.outcome == Outcome::Full || event.outcome == Outcome::TimedOut;
+  if (ok || unserved) {
+    Group& group = groupOf(job.request.group);
+    Record& record = &peer == primaryOf(group, false) ? group.primary : group.replicas;
+    record.add(ok && now_ <= job.aimEnd ? 1 : 0);
+  }
 
-  ClassRecord& record = classes_[job.request.classIndex];
+  Mean& usual = latencies_[job.request.classIndex];
   const auto elapsed = real(event.elapsed);
-  if (event.outcome == Outcome::Ok) {
-    record.samples += 1;
-    record.mean += (elapsed - record.mean) * std::max(kClassGain, 1 / record.samples);
-    meanSamples_ += 1;
-    mean_ += (elapsed - mean_) * std::max(kClassGain, 1 / meanSamples_);
+  if (ok) {
+    usual.add(elapsed);
+    mean_.add(elapsed);
     peer.taken.add(costOf(job), now_, fallWindow());
     if (warmthOf(peer) >= 1) warmTaken_ += kTakenGain * (peer.taken.now(now_, fallWindow()) - warmTaken_);
   }
   const bool unanswered = event.outcome == Outcome::TimedOut || event.outcome == Outcome::Error;
-  if (record.mean > 0 && (event.outcome == Outcome::Ok || unanswered)) {
+  if (usual.value > 0 && (ok || unanswered)) {
     peer.slowness = 1 + (peer.slowness - 1) * recencyOf(peer);
-    peer.failing = peer.failing * recencyOf(peer) * (1 - kFailingGain) + (unanswered ? kFailingGain : 0);
-    peer.slowness += kSlownessGain * (std::min(elapsed / record.mean, kSlownessMost) - peer.slowness);
+    // An error counts as the slowest answer: one that fails fast must not draw traffic by looking fast.
+    const double slow = event.outcome == Outcome::Error ? kSlownessMost : elapsed / usual.value;
+    peer.slowness += kSlownessGain * (std::min(slow, kSlownessMost) - peer.slowness);
     peer.slownessAt = now_;
   }
   // Load limiting (section 3.2 of the paper) with a limit that is learned: it grows while answers come well
   // inside their aim and shrinks when they do not, whoever caused the crowd.
   const bool late = elapsed > kCrowdedShare * real(classOf(job).aim);
-  if (event.outcome == Outcome::Full || event.outcome == Outcome::TimedOut ||
-      (event.outcome == Outcome::Ok && late)) {
+  if (unserved || (ok && late)) {
     peer.limit = std::max(kLimitLeast, peer.limit * kLimitCut);
-  } else if (event.outcome == Outcome::Ok && peer.load * 2 >= peer.limit) {
+  } else if (ok && peer.load * 2 >= peer.limit) {
     peer.limit = std::min(kLimitMost, peer.limit + std::min(1 / peer.limit, kLimitGrowth * peer.limit));
   }
 }
@@ -553,9 +563,8 @@
 // ---- Judgements ----
 
 double Logic::Impl::costOf(std::size_t index) const {
-  const ClassRecord& record = classes_[index];
-  const double aim = real(settings_.classes[index].aim);
-  return mean_ <= 0 ? 1.0 : (record.mean > 0 ? record.mean : kUsualShare * aim) / mean_;
+  const double own = latencies_[index].value;
+  return own > 0 && mean_.value > 0 ? own / mean_.value : 1.0;
 }
 
 // Long reads may stop the log on the replica that holds them, and nothing says which do.
@@ -566,11 +575,11 @@
 // The share of the replicas' work that long reads are.
 double Logic::Impl::longShare() const {
   double total = 0, heavy = 0;
-  for (std::size_t i = 0; i < classes_.size(); ++i) {
+  for (std::size_t i = 0; i < arrivals_.size(); ++i) {
     const Consistency kind = settings_.classes[i].consistency;
     if (kind == Consistency::Write || kind == Consistency::Fresh) continue;
-    total += classes_[i].arrivals * costOf(i);
-    if (longRead(i)) heavy += classes_[i].arrivals * costOf(i);
+    total += arrivals_[i] * costOf(i);
+    if (longRead(i)) heavy += arrivals_[i] * costOf(i);
   }
   return total > 0 ? heavy / total : 0;
 }
@@ -580,9 +589,7 @@
   return std::max(0.0, 1 - real(now_ - peer.slownessAt) / real(kSlownessFades));
 }
 
-double Logic::Impl::slownessOf(const Peer& peer) const {
-  return 1 + (peer.slowness * (1 + kFailingWeight * peer.failing) - 1) * recencyOf(peer);
-}
+double Logic::Impl::slownessOf(const Peer& peer) const { return 1 + (peer.slowness - 1) * recencyOf(peer); }
 
 // The share of its capacity that a member has at the least, by the contract: it climbs evenly from its start.
 double Logic::Impl::warmthOf(const Peer& peer) const {
@@ -595,16 +602,15 @@
 
 // Guards a cold member against being pushed over by all routers together. What warm members answer for this
 // router is its part of what they can do; keeping the cold one's work, rejected work included, in that
-// proportion to its warmth keeps the sum of all routers within the contract, however unequal they are. A
-// router that has seen too little may have one light request out there at a time, within its even part of
-// what a single core could do.
+// proportion to its warmth keeps the sum of all routers within the contract, however unequal they are. One
+// that has seen too little may have one light request out there, within its even part of what a core can do.
 bool Logic::Impl::coldAllows(const Peer& peer, double cost) const {
   const double warmth = warmthOf(peer);
   if (warmth >= 1) return true;
   const double used = peer.sent.now(now_, fallWindow()) + cost;
   if (used <= std::min(kColdMost, kColdShare * settings_.fallMultiple) * warmth * warmTaken_) return true;
-  if (peer.inFlight > 0 || cost > kHeavy || mean_ <= 0) return false;
-  const double core = settings_.fallMultiple * warmth * real(fallWindow()) / mean_;
+  if (peer.inFlight > 0 || cost > kHeavy || mean_.value <= 0) return false;
+  const double core = settings_.fallMultiple * warmth * real(fallWindow()) / mean_.value;
   return used <= kColdShare * core / settings_.drivers;
 }
 
@@ -638,7 +644,7 @@
 }
 
 double Logic::Impl::usualOf(const Job& job) const {
-  return std::min(classes_[job.request.classIndex].mean, kUsualMost * real(classOf(job).aim));
+  return std::min(latencies_[job.request.classIndex].value, kUsualMost * real(classOf(job).aim));
 }
 
 // When a request that waits here is worth nothing any more. Refused then, at once, not at its deadline.
@@ -665,7 +671,7 @@
 
 void Logic::Impl::on(const RequestArrived& event) {
   const Request& request = event.request;
-  if (request.classIndex >= classes_.size() || request.deadline <= now_) {
+  if (request.classIndex >= arrivals_.size() || request.deadline <= now_) {
     act(Refuse{request.id, 0});
     return;
   }
@@ -689,20 +695,22 @@
     }
     if (job.consistency == Consistency::Session && job.token == kNever) job.consistency = Consistency::Any;
   }
-  for (ClassRecord& record : classes_) record.arrivals *= kMixKept;
-  classes_[request.classIndex].arrivals += 1;
+  for (double& count : arrivals_) count *= kMixKept;
+  allWork_ *= kMixKept;
+  ledWork_ *= kMixKept;
+  arrivals_[request.classIndex] += 1;
   probeCredit_ = std::min(kProbesSaved, probeCredit_ + kProbesPerRequest);
   repeatCredit_ = std::min(kRepeatsSaved, repeatCredit_ + kRepeatsPerRequest);
   Group& group = groupOf(request.group);
   probeStale(group);
-  // A marked repeat has most likely spent its aim on earlier tries: where late answers are worth nothing, it
-  // gets room that is free and takes none from those that still can be in time.
-  const bool spent = request.repeat && entry.lateShare <= 0;
-  if (spent && (group.heldCount > 0 || !tryPlace(job, group))) {
+  Record& record = needsPrimary(job) ? group.primary : group.replicas;
+  job.luck = random();
+  if (record.jammed(job.luck, entry.lateShare)) {
+    record.add(0);
     conclude(job);
-  } else if (!spent) {
-    place(job, group);
+    return eraseIfDone(request.id);
   }
+  place(job, group);
   eraseIfDone(request.id);
 }
 
@@ -710,7 +718,11 @@
 // member at once, or none until the next look, so never a tight loop.
 void Logic::Impl::place(Job& job, Group& group) {
   if (!mayRepeat(job, nullptr) || now_ >= giveUpAt(job)) return conclude(job);
-  if (!tryPlace(job, group)) hold(job, group);
+  if (tryPlace(job, group)) return;
+  // A marked repeat has most likely spent its aim on earlier tries: where late answers are worth nothing, it
+  // gets room that is free and takes none from those that still can be in time.
+  if (job.request.repeat && classOf(job).lateShare <= 0) return conclude(job);
+  hold(job, group);
 }
 
 bool Logic::Impl::tryPlace(Job& job, Group& group) {
@@ -723,15 +735,14 @@
 // The design's rule: writes and fresh reads to the primary, other reads to a replica that is known to be
 // current enough, and when there is none to the primary. Null: hold.
 Peer* Logic::Impl::choose(Job& job, Group& group) {
-  const bool toPrimary = job.consistency == Consistency::Write || job.consistency == Consistency::Fresh;
+  const bool toPrimary = needsPrimary(job);
   if (!toPrimary) {
-    bool limited = false;
-    double crowd = 0;  // the highest limit of the replicas that have no room
-    if (Peer* replica = chooseReplica(job, group, limited, crowd)) return replica;
+    std::optional<double> crowd;  // the highest limit of the replicas that qualify but have no room
+    if (Peer* replica = chooseReplica(job, group, crowd)) return replica;
     // Load limiting: wait for one of those that qualify, unless the primary has room to spare.
-    const Peer* spare = limited ? primaryOf(group, false) : nullptr;
-    if (limited &&
-        (spare == nullptr || spare->load >= kSpareShare * limitOf(*spare) || limitOf(*spare) < crowd))
+    const Peer* spare = crowd ? primaryOf(group, false) : nullptr;
+    if (crowd &&
+        (spare == nullptr || spare->load >= kSpareShare * limitOf(*spare) || limitOf(*spare) < *crowd))
       return nullptr;
   }
   Peer* primary = primaryOf(group, job.consistency == Consistency::Write);
@@ -739,12 +750,14 @@
     seek(group);  // no guess: a server that may be stale gets no read
     return nullptr;
   }
+  if (!toPrimary && group.primary.jammed(job.luck, classOf(job).lateShare)) return nullptr;
+  if (now_ < primary->pausedUntil) return nullptr;
   if (primary->load >= limitOf(*primary) || !paced(*primary, job) || !coldAllows(*primary, costOf(job)))
     return nullptr;
   return primary;
 }
 
-Peer* Logic::Impl::chooseReplica(Job& job, Group& group, bool& limited, double& crowd) {
+Peer* Logic::Impl::chooseReplica(Job& job, Group& group, std::optional<double>& crowd) {
   const Position need = needOf(job);
   const double cost = costOf(job);
   // Spread over all replicas, long reads would leave none current, so all routers pack them on the first by
@@ -773,12 +786,13 @@
     if (!peer.ready || &peer == primary || ghost(peer) || blocked(peer)) continue;
     const bool takes = takesPacks(peer) && ++place <= packs;
     if (packed && !takes && waited < kPackWait) {
-      limited = true;
+      crowd = crowd.value_or(0);
       continue;
     }
     const double weight = takes && !packed ? std::max(kPackedLeast, 1 - heavy / packs) : 1;
     const double load = packed ? peer.inFlight : peer.load;
-    const bool room = load < limitOf(peer) && paced(peer, job) && coldAllows(peer, cost);
+    const bool room =
+        now_ >= peer.pausedUntil && load < limitOf(peer) && paced(peer, job) && coldAllows(peer, cost);
     known = known || peer.position != kNever;
     if (need != kNever && peer.position < need) {
       probing = probing || peer.probing;
@@ -797,8 +811,7 @@
       continue;
     }
     if (!room) {
-      limited = true;
-      crowd = std::max(crowd, limitOf(peer));
+      crowd = std::max(crowd.value_or(0), limitOf(peer));
       continue;
     }
     const double work = (peer.load / warmthOf(peer) + cost) / weight;
@@ -811,38 +824,33 @@
     }
   }
   if (best != nullptr) return best;
-  if (limited) return nullptr;
+  if (crowd) return nullptr;
   // Members that check reads themselves turn away what they are too far behind for, so the guess is safe.
   if (settings_.guard != Guard::Silent && advanced != nullptr && advanced->position != kNever)
     return advanced;
   // A probe may bring what is missing, and a short wait for it spares the primary a read. Only one is asked:
   // a read needs one member that is known to be fresh, not all of them.
-  if (known && hopeful != nullptr && !probing && probeCredit_ >= 1) {
-    probeCredit_ -= 1;
+  if (hopeful != nullptr && !probing) {
     probe(*hopeful);
     probing = true;
   }
-  limited = known && probing && waited < kProbeWaitShare;
-  crowd = 1;
+  // Meanwhile an idle primary takes it, while primaries have less than their even part of this router's work.
+  const bool spare = ledWork_ * static_cast<double>(group.members.size()) < allWork_;
+  if (probing && waited < kProbeWaitShare) crowd = spare ? 0 : kLimitMost;
   return nullptr;
 }
 
 void Logic::Impl::send(Job& job, Peer& peer) {
-  const ClassSettings& entry = classOf(job);
   const double cost = costOf(job);
-  // A safe read on a member that is only tried, or has gone quiet, is tried elsewhere while there is time for
-  // it. On others a long wait is more often a crowd's, which a second try would only add to.
-  const auto silence = std::max(settings_.connectTimeout, static_cast<Micros>(kSilentMeans * mean_));
+  const auto silence = std::max(settings_.connectTimeout, static_cast<Micros>(kSilentMeans * mean_.value));
   const bool quiet = peer.inFlight > 0 && now_ - peer.heardAt > silence;
-  const double mean = classes_[job.request.classIndex].mean;
-  const Micros until = now_ + static_cast<Micros>(kPatienceMeans * mean);
-  const bool trial = entry.effect == Effect::Safe && (quiet || peer.strikes > 0) && repeatCredit_ >= 1;
-  const Micros abandonAt = trial && mean > 0 && until + static_cast<Micros>(mean) < job.aimEnd ? until : 0;
-  act(Attempt{job.request.id, peer.info.id, abandonAt});
+  act(Attempt{job.request.id, peer.info.id, 0});
   job.tries.push_back({peer.info.id, now_, cost, true, true});
   ++job.pending;
   if (peer.inFlight++ == 0) peer.heardAt = std::max(peer.heardAt, now_);
   peer.load += cost;
+  allWork_ += cost;
+  if (peer.primaryAt != kNever && peer.primaryAt == groupOf(peer.info.group).primaryAt) ledWork_ += cost;
   peer.sent.add(cost, now_, fallWindow());
   // Guards against a member that has gone quiet with requests of ours on it, which writes would never show.
   if (quiet && now_ - peer.probedAt > silence) probe(peer);
@@ -852,8 +860,7 @@
   group.held[job.request.classIndex].push_back(job.request.id);
   ++group.heldCount;
   job.held = true;
-  if (!job.timed) setTimer(kGiveUpTimer, job.request.id, giveUpAt(job) - now_);
-  job.timed = true;
+  setTimer(kGiveUpTimer, job.request.id, giveUpAt(job) - now_);
   lookAgain(job.request.group, group);
 }
 
@@ -918,7 +925,7 @@
   if (Peer* peer = find(attempt.member)) {
     peer->inFlight = std::max(0, peer->inFlight - 1);
     peer->load = peer->inFlight == 0 ? 0 : std::max(0.0, peer->load - attempt.cost);
-    learnEnd(*peer, job, event);
+    learnEnd(*peer, job, attempt.sentAt, event);
   }
   if (event.outcome == Outcome::Ok && classOf(job).consistency == Consistency::Write &&
       job.request.session != 0) {
@@ -971,16 +978,11 @@
   switch (event.token >> kTimerShift) {
     case kGiveUpTimer: {
       const auto found = jobs_.find(static_cast<RequestId>(what));
-      if (found == jobs_.end()) return;
-      Job& job = found->second;
-      job.timed = false;
-      if (!job.held) return;
-      if (now_ < giveUpAt(job)) {
-        job.timed = true;
-        return setTimer(kGiveUpTimer, what, giveUpAt(job) - now_);
-      }
-      conclude(job);
-      return eraseIfDone(job.request.id);
+      if (found == jobs_.end() || !found->second.held) return;
+      const Micros left = giveUpAt(found->second) - now_;
+      if (left > 0) return setTimer(kGiveUpTimer, what, left);
+      conclude(found->second);
+      return eraseIfDone(found->first);
     }
     case kGroupTimer: {
       const auto found = groups_.find(static_cast<GroupId>(what));
