Idle connections are closed while a living member turns connections away

Cause: where servers take few connections, each of hundreds of routers keeps the few it has, idle, and has none to most groups: 25,000 attempts in 5 s got no connection, and reads were refused although servers were idle. By what evidence: the attempts failed within 2 ms (a slow handshake fails at the time-out), the same servers answered probes at once (a dead one does not) and served other routers: neither the server nor the path was the cause. Now a connection turned away at once is asked about by a probe; if the member lives, connections count as scarce for 4 s after the last one: the router closes its idle ones, and each again as soon as it is idle, so that others get them. Holds against any cap on connections. It may hurt where handshakes are dear as well as connections scarce.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -35,8 +35,7 @@
 // Load. A member's limit starts here, keeps to these ends, and is cut by this factor by a late answer.
 constexpr double kLimitStart = 24;  // of all routers together, at least one each
 constexpr double kLimitLeast = 0.25, kLimitMost = 64, kLimitCut = 0.9;
-// It grows by one request for each limit's worth of answers, but by no more than this share an answer, so
-// that a low limit falls further only while most answers are late.
+// It grows by one request for each limit's worth of answers, but by no more than this share an answer.
 constexpr double kLimitGrowth = 0.15;
 // An answer that took more than this share of its aim tells that the member is crowded.
 constexpr double kCrowdedShare = 0.6;
@@ -50,22 +49,21 @@
 constexpr double kJitter = 0.15;
 // How long a long read waits, as a share of its aim, before it takes a replica that is current.
 constexpr double kPackWait = 0.25;
-// How fast the record of what classes arrive moves, and the least weight of a replica that takes long reads.
-constexpr double kMixKept = 0.999, kPackedLeast = 0.05;
+// How fast the record of what classes arrive moves.
+constexpr double kMixKept = 0.999;
 // Makes a second try prefer a member that the request has not seen, and any try one known to live.
 constexpr double kTriedPenalty = 4;
 
 // Health. A member that fails is left alone for this long, doubled with each further failure up to the most.
 constexpr Micros kBlockLeast = 250 * kMillisecond, kBlockMost = 4 * kSecond;
-// Time-outs in a row that count as a failure, and mean latencies of silence that need a probe.
+// For how long connections count as scarce after one was turned away.
+constexpr Micros kScarceFor = 4 * kSecond;
+// Time-outs in a row that count as a failure.
 constexpr int kFailuresToBlock = 3;
-constexpr double kSilentMeans = 6;
 
 // Guards a jammed group where routers see too little to limit themselves member by member: requests are
 // turned away beyond this multiple of what was lately served in time. How fast that record moves.
 constexpr double kServedMultiple = 1.5, kRecordGain = 0.2;
-// Guards a full member against being asked again and again.
-constexpr Micros kFullPause = 250 * kMillisecond;
 
 // Tries. Guards against repeats that multiply an overload: what each request earns, and the most saved.
 constexpr double kRepeatsPerRequest = 0.1, kRepeatsSaved = 10;
@@ -104,9 +102,8 @@
 
 struct Peer {
   Member info;
-  bool ready = false;     // the contract lets us send to it
-  bool draining = false;  // listed so since its last launch
-  bool listedGone = false;
+  bool ready = false;          // the contract lets us send to it
+  bool draining = false;       // listed so since its last launch
   bool doubted = false;        // where the list is only advice: nothing but the list speaks of its state
   Position position = kNever;  // the last known log position
   Micros primaryAt = kNever;   // the newest time at which it is known to have been the primary
@@ -120,20 +117,20 @@
   int strikes = 0;
   int failures = 0;  // time-outs in a row
   Micros blockedUntil = kNever;
-  Micros pausedUntil = kNever;  // it was full
   Micros heardAt = kNever;
   bool probing = false;
   Micros probedAt = kNever;
-  Micros lag = 0;  // how far behind it was last told to be, the age of the telling included
   Micros lagAt = kNever;
+  Micros lag = 0;              // how far behind it was last told to be, the age of the telling included
+  bool refused = false;        // it turned a connection away, and a probe is to tell whether it lives
   bool lost = false;           // its connections broke, and it has not answered since
   Micros returnedAt = kNever;  // when it answered again
   Fading sent;                 // work sent to it, what it turned away included
   Fading taken;                // work it has answered
 };
 
-// What was lately asked of a group's replicas, or of its primary, and how much of it was served in time. It
-// goes by requests and not by time, so that it tells a router with little traffic as much as a busy one.
+// What was lately asked of a group's replicas, or its primary, and how much was served in time: by requests,
+// not by time, so that it tells a router with little traffic as much as a busy one.
 struct Record {
   double asked = 0;
   double served = 0;
@@ -198,10 +195,10 @@
   void on(const MembersChanged& event);
   void on(const RequestArrived& event);
   void on(const AttemptEnded& event);
-  void on(const AttemptStreaming& event);
+  void on(const AttemptStreaming& event) { finish(event.request); }
   void on(const ProbeEnded& event);
   void on(const TimerFired& event);
-  void on(const ClientLeft& event);
+  void on(const ClientLeft& event) { finish(event.request); }
 
   // The record of members.
   void update(const Member& member);
@@ -212,6 +209,7 @@
   void learnEnd(Peer& peer, const Job& job, Micros sentAt, const AttemptEnded& event);
   void strike(Peer& peer);
   void heard(Peer& peer);
+  void scarce();
   Peer* primaryOf(const Group& group, bool forWrite);
   void probe(Peer& peer);
   void seek(Group& group);
@@ -227,6 +225,7 @@
   void pump(Group& group);
   void lookAgain(GroupId id, Group& group);
   void conclude(Job& job);
+  void finish(RequestId id);
   void eraseIfDone(RequestId id);
 
   // Judgements.
@@ -246,9 +245,10 @@
   double warmthOf(const Peer& peer) const;
   bool coldAllows(const Peer& peer, double cost) const;
   bool blocked(const Peer& peer) const { return now_ < peer.blockedUntil; }
+  bool connectionsScarce() const { return now_ - scarceAt_ < kScarceFor; }
   bool takesPacks(const Peer& peer) const { return peer.ready && !peer.doubted && !blocked(peer); }
   // Guards against ghosts: one that nothing but the list vouches for and that failed gets probes only.
-  bool ghost(const Peer& peer) const { return peer.doubted && peer.strikes > 0; }
+  bool ghost(const Peer& peer) const { return peer.strikes > 0 && peer.doubted; }
   double limitOf(const Peer& peer) const { return peer.strikes > 0 ? std::min(1.0, peer.limit) : peer.limit; }
   bool paced(const Peer& peer, const Job& job) const;
   double usualOf(const Job& job) const;
@@ -279,10 +279,11 @@
   std::unordered_map<std::uint64_t, Position> sessions_;  // each session's last write position
   std::vector<Mean> latencies_;                           // of each class's answers
   std::vector<double> arrivals_;
-  double allWork_ = 0;    // sent lately
-  double ledWork_ = 0;    // and of that to primaries
-  Mean mean_;             // latency of all answers
-  double warmTaken_ = 0;  // the work that a warm member answers for this router in the contract's window
+  double allWork_ = 0;        // sent lately
+  double ledWork_ = 0;        // and of that to primaries
+  Micros scarceAt_ = kNever;  // when connections were last known to be scarce
+  Mean mean_;                 // latency of all answers
+  double warmTaken_ = 0;      // the work that a warm member answers for this router in the contract's window
   double probeCredit_ = kProbesSaved;
   double repeatCredit_ = kRepeatsSaved;
   Micros smallestBound_ = 0;
@@ -381,17 +382,12 @@
   peer.draining = member.state == MemberState::Draining || still;
   peer.ready = !peer.draining;
   peer.doubted = peer.doubted && peer.heardAt == kNever;
-  peer.listedGone = false;
 }
 
 // Gone, or left out by the list. Where that binds nothing it goes on as it was, but must show that it lives.
 void Logic::Impl::left(Peer& peer) {
-  if (!settings_.goneIsAdvice) {
-    peer.ready = false;
-  } else if (!peer.listedGone) {
-    peer.doubted = true;
-  }
-  peer.listedGone = true;
+  peer.ready = peer.ready && settings_.goneIsAdvice;
+  peer.doubted = settings_.goneIsAdvice;
 }
 
 // Newer evidence wins. A claim counts from the time at which it was true, so that a late report is not news.
@@ -432,8 +428,7 @@
     if (peer.primaryAt != kNever && peer.primaryAt == group.primaryAt && peer.primaryAt > peer.replicaAt) {
       return &peer;
     }
-    // The list is late: it counts while nothing better is known, or, where no probe can tell, for writes,
-    // which a member that does not lead turns away unharmed.
+    // The list is late: it counts while nothing better is known, or for writes where no probe can tell.
     const bool silent = peer.replicaAt == kNever && group.primaryAt == kNever;
     if (peer.listedAt == kNever || !(silent || (forWrite && !settings_.mayProbe))) continue;
     if (listed == nullptr || peer.listedAt > listed->listedAt) listed = &peer;
@@ -459,8 +454,7 @@
   if (group.soughtAt == kNever) return seek(group);
   const auto due = part(kProbeAtShare, smallestBound_);
   const auto gap = part(kProbeGapShare, due);
-  // From a member drawn at random: an allowance that does not reach for all must not go to the same few from
-  // every router, whose reads would then crowd those.
+  // From a random member on, so that a scant allowance does not go to the same few from every router.
   const std::size_t count = group.members.size();
   const std::size_t start = random_() % std::max<std::size_t>(1, count);
   for (std::size_t i = 0; i < count && probeCredit_ >= 1; ++i) {
@@ -487,11 +481,12 @@
   } else {
     strike(*peer);
   }
+  if (peer->refused && event.ok) scarce();
+  peer->refused = false;
   pump(groupOf(peer->info.group));
 }
 
-// A failure that tells of the member and not of the request: leave it alone for a while, then try it again.
-// Many attempts that break together are one failure.
+// A failure of the member: leave it alone for a while. Many attempts that break together are one failure.
 void Logic::Impl::strike(Peer& peer) {
   if (blocked(peer)) return;
   peer.strikes = std::min(peer.strikes + 1, 8);
@@ -499,6 +494,17 @@
   peer.blockedUntil = now_ + std::min(kBlockMost, kBlockLeast << (peer.strikes - 1));
 }
 
+// A member that lives turned a connection away. Guards against routers that sit on connections others need:
+// idle ones are closed, and for a while each one as soon as it is idle again.
+void Logic::Impl::scarce() {
+  if (!connectionsScarce()) {
+    for (const auto& [id, group] : groups_) {
+      for (const MemberId member : group.members) act(Disconnect{member});
+    }
+  }
+  scarceAt_ = now_;
+}
+
 // A member whose connections broke and that answers again has most likely started anew, and is cold long
 // before the list tells. One that could only not be reached (no connection, silence) is not taken for that.
 void Logic::Impl::heard(Peer& peer) {
@@ -520,12 +526,16 @@
   }
   learnReport(peer, event.report);
   if (event.outcome == Outcome::Reset) peer.lost = true;
+  // Turned away at once and not for want of an answer: it is dead, or its connections are all taken.
+  if (event.outcome == Outcome::ConnectFailed && event.elapsed < settings_.connectTimeout / 2) {
+    peer.refused = true;
+    probe(peer);
+  }
   if (event.outcome == Outcome::ConnectFailed || event.outcome == Outcome::Reset) return strike(peer);
   if (event.outcome == Outcome::TimedOut && ++peer.failures >= kFailuresToBlock) strike(peer);
   // Guards against a member that is down without a word: our few requests there would not tell for long.
   if (event.outcome == Outcome::TimedOut && peer.heardAt <= sentAt && now_ - peer.probedAt > kSeekEvery)
     probe(peer);
-  if (event.outcome == Outcome::Full) peer.pausedUntil = now_ + part(0.5 + random(), kFullPause);
   const bool ok = event.outcome == Outcome::Ok;
   const bool unserved = event.outcome == Outcome::Full || event.outcome == Outcome::TimedOut;
   if (ok || unserved) {
@@ -550,8 +560,7 @@
     peer.slowness += kSlownessGain * (std::min(slow, kSlownessMost) - peer.slowness);
     peer.slownessAt = now_;
   }
-  // Load limiting (section 3.2 of the paper) with a limit that is learned: it grows while answers come well
-  // inside their aim and shrinks when they do not, whoever caused the crowd.
+  // Load limiting (section 3.2 of the paper): the limit grows while answers come well inside their aim.
   const bool late = elapsed > kCrowdedShare * real(classOf(job).aim);
   if (unserved || (ok && late)) {
     peer.limit = std::max(kLimitLeast, peer.limit * kLimitCut);
@@ -659,12 +668,11 @@
   return job.consistency == Consistency::Session ? job.token : kNever;
 }
 
-// Worth per work, growing with the time waited so that no class is left out for good.
+// Worth per work.
 double Logic::Impl::priorityOf(const Job& job) const {
   const ClassSettings& entry = classOf(job);
   const double worth = entry.worth * (now_ > job.aimEnd ? entry.lateShare : 1.0);
-  const double waited = real(now_ - job.arrived) / real(std::max<Micros>(1, entry.aim));
-  return worth * (0.5 + waited) / costOf(job);
+  return worth / costOf(job);
 }
 
 // ---- The path of a request ----
@@ -714,13 +722,12 @@
   eraseIfDone(request.id);
 }
 
-// Sends the request, or holds it, or ends it. After an attempt that ended nothing it serves again: another
-// member at once, or none until the next look, so never a tight loop.
+// Sends the request, or holds it, or ends it. After an attempt that ended nothing it serves again.
 void Logic::Impl::place(Job& job, Group& group) {
   if (!mayRepeat(job, nullptr) || now_ >= giveUpAt(job)) return conclude(job);
   if (tryPlace(job, group)) return;
-  // A marked repeat has most likely spent its aim on earlier tries: where late answers are worth nothing, it
-  // gets room that is free and takes none from those that still can be in time.
+  // A marked repeat most likely has spent its aim on earlier tries: where late is worth nothing it never
+  // waits.
   if (job.request.repeat && classOf(job).lateShare <= 0) return conclude(job);
   hold(job, group);
 }
@@ -732,8 +739,8 @@
   return true;
 }
 
-// The design's rule: writes and fresh reads to the primary, other reads to a replica that is known to be
-// current enough, and when there is none to the primary. Null: hold.
+// The design's rule: writes and fresh reads to the primary, others to a replica known to be current enough,
+// and when there is none to the primary. Null: hold.
 Peer* Logic::Impl::choose(Job& job, Group& group) {
   const bool toPrimary = needsPrimary(job);
   if (!toPrimary) {
@@ -751,7 +758,6 @@
     return nullptr;
   }
   if (!toPrimary && group.primary.jammed(job.luck, classOf(job).lateShare)) return nullptr;
-  if (now_ < primary->pausedUntil) return nullptr;
   if (primary->load >= limitOf(*primary) || !paced(*primary, job) || !coldAllows(*primary, costOf(job)))
     return nullptr;
   return primary;
@@ -789,16 +795,14 @@
       crowd = crowd.value_or(0);
       continue;
     }
-    const double weight = takes && !packed ? std::max(kPackedLeast, 1 - heavy / packs) : 1;
     const double load = packed ? peer.inFlight : peer.load;
-    const bool room =
-        now_ >= peer.pausedUntil && load < limitOf(peer) && paced(peer, job) && coldAllows(peer, cost);
+    const bool room = load < limitOf(peer) && paced(peer, job) && coldAllows(peer, cost);
     known = known || peer.position != kNever;
     if (need != kNever && peer.position < need) {
       probing = probing || peer.probing;
       // Any of those that may be current enough, so that not all routers ask, and then crowd, the same one.
       const bool may = room && peer.lag <= now_ - need && now_ - peer.probedAt >= freshen;
-      const double hope = may ? weight * random() : 0;
+      const double hope = may ? random() : 0;
       if (hope > bestHope) {
         hopeful = &peer;
         bestHope = hope;
@@ -814,7 +818,7 @@
       crowd = std::max(crowd.value_or(0), limitOf(peer));
       continue;
     }
-    const double work = (peer.load / warmthOf(peer) + cost) / weight;
+    const double work = (peer.load / warmthOf(peer) + cost);
     double score = work * slownessOf(peer) * (1 + kJitter * random());
     if (peer.doubted) score *= kTriedPenalty;
     for (const Try& attempt : job.tries) score *= attempt.member == id ? kTriedPenalty : 1;
@@ -828,8 +832,7 @@
   // Members that check reads themselves turn away what they are too far behind for, so the guess is safe.
   if (settings_.guard != Guard::Silent && advanced != nullptr && advanced->position != kNever)
     return advanced;
-  // A probe may bring what is missing, and a short wait for it spares the primary a read. Only one is asked:
-  // a read needs one member that is known to be fresh, not all of them.
+  // A probe of one may bring what is missing, and a short wait for it spares the primary a read.
   if (hopeful != nullptr && !probing) {
     probe(*hopeful);
     probing = true;
@@ -842,7 +845,7 @@
 
 void Logic::Impl::send(Job& job, Peer& peer) {
   const double cost = costOf(job);
-  const auto silence = std::max(settings_.connectTimeout, static_cast<Micros>(kSilentMeans * mean_.value));
+  const Micros silence = std::max(settings_.connectTimeout, kSeekEvery);
   const bool quiet = peer.inFlight > 0 && now_ - peer.heardAt > silence;
   act(Attempt{job.request.id, peer.info.id, 0});
   job.tries.push_back({peer.info.id, now_, cost, true, true});
@@ -926,6 +929,7 @@
     peer->inFlight = std::max(0, peer->inFlight - 1);
     peer->load = peer->inFlight == 0 ? 0 : std::max(0.0, peer->load - attempt.cost);
     learnEnd(*peer, job, attempt.sentAt, event);
+    if (event.outcome == Outcome::Ok && connectionsScarce()) act(Disconnect{attempt.member});
   }
   if (event.outcome == Outcome::Ok && classOf(job).consistency == Consistency::Write &&
       job.request.session != 0) {
@@ -937,9 +941,8 @@
   Group& group = groupOf(job.request.group);
   if (!job.over && job.pending == 0) {
     const bool repeatCosts = !neverRan || event.outcome == Outcome::Full;
-    if (event.outcome == Outcome::NeverSent || now_ + settings_.tick >= job.request.deadline) {
-      conclude(job);
-    } else if (repeatCosts && classOf(job).effect == Effect::Safe && repeatCredit_ < 1) {
+    const bool tooMany = repeatCosts && classOf(job).effect == Effect::Safe && repeatCredit_ < 1;
+    if (event.outcome == Outcome::NeverSent || now_ + settings_.tick >= job.request.deadline || tooMany) {
       conclude(job);
     } else {
       if (repeatCosts) repeatCredit_ -= 1;
@@ -967,12 +970,6 @@
   if (found != jobs_.end() && found->second.over && found->second.pending == 0) jobs_.erase(found);
 }
 
-void Logic::Impl::on(const AttemptStreaming& event) {
-  // A started stream belongs to its client: nothing further is sent for it, and its end comes as an outcome.
-  const auto found = jobs_.find(event.request);
-  if (found != jobs_.end()) found->second.over = true;
-}
-
 void Logic::Impl::on(const TimerFired& event) {
   const std::uint64_t what = event.token & ((std::uint64_t{1} << kTimerShift) - 1);
   switch (event.token >> kTimerShift) {
@@ -1001,12 +998,13 @@
   }
 }
 
-void Logic::Impl::on(const ClientLeft& event) {
-  const auto found = jobs_.find(event.request);
+// Nothing more is owed. A started stream belongs to its client, and its end comes as an outcome.
+void Logic::Impl::finish(RequestId id) {
+  const auto found = jobs_.find(id);
   if (found == jobs_.end()) return;
   found->second.over = true;
   found->second.held = false;
-  eraseIfDone(event.request);
+  eraseIfDone(id);
 }
 
 Logic::Logic(Settings settings, std::uint64_t seed, Micros now, std::vector<Action>& out)
--- a/src/logic.h
+++ b/src/logic.h
@@ -148,12 +148,15 @@
 struct Probe {
   MemberId member = 0;
 };
+struct Disconnect {  // closes this router's idle connections to a member
+  MemberId member = 0;
+};
 struct Subscribe {};
 struct SetTimer {
   std::uint64_t token = 0;
   Micros after = 0;
 };
-using Action = std::variant<Attempt, Cancel, Refuse, Fail, Probe, Subscribe, SetTimer>;
+using Action = std::variant<Attempt, Cancel, Refuse, Fail, Probe, Disconnect, Subscribe, SetTimer>;
 
 // One router. It shares nothing with others; equal seeds and events give equal actions.
 class Logic {
--- a/src/wirehost/codec.cpp
+++ b/src/wirehost/codec.cpp
@@ -204,6 +204,11 @@
   bytes_.append(reinterpret_cast<const char*>(&member), kMemberSize);
 }
 
+void ReplyWriter::release(WireMember member) {
+  begin(4);
+  bytes_.append(reinterpret_cast<const char*>(&member), kMemberSize);
+}
+
 const std::string& ReplyWriter::finish() {
   const auto length = static_cast<std::uint32_t>(bytes_.size());
   std::memcpy(bytes_.data(), &length, sizeof(length));
--- a/src/wirehost/codec.h
+++ b/src/wirehost/codec.h
@@ -126,6 +126,7 @@
   void defer(std::uint64_t label, std::uint32_t after);
   void streamChanges(bool on);
   void inspect(WireMember member);
+  void release(WireMember member);
   const std::string& finish();  // fills in the header
 
  private:
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -147,6 +147,7 @@
             [&](const Refuse& a) { writer_.refuse(a.request, limited(a.retryAfter)); },
             [&](const Fail& a) { writer_.error(a.request); },
             [&](const Probe& a) { writer_.inspect(a.member); },
+            [&](const Disconnect& a) { writer_.release(a.member); },
             [&](const Subscribe&) { writer_.streamChanges(true); },
             [&](const SetTimer& a) { writer_.defer(a.token, limited(a.after)); },
         },
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -190,6 +190,7 @@
   EXPECT_EQ(frameOf([&](ReplyWriter& w) { w.defer(0x4d, 500000); }), "0c004d0000000000000020a10700");
   EXPECT_EQ(frameOf([&](ReplyWriter& w) { w.streamChanges(true); }), "070001");
   EXPECT_EQ(frameOf([&](ReplyWriter& w) { w.inspect(member); }), "01000a124a075b1b");
+  EXPECT_EQ(frameOf([&](ReplyWriter& w) { w.release(member); }), "04000a124a075b1b");
   EXPECT_EQ(frameOf([&](ReplyWriter& w) { w.error(0x0e6f2b19); }), "0a00192b6f0e");
 }
 
