Scarce connections told from slow ones; tokens and members let go; types in a file of their own

Now only a member that may be sent to counts, and none while connections fail slowly. A probe turned away for want of room is proof of life; until now it counted as a failure and blocked the member. Remembered tokens older than a minute are let go once there are many, and bind all sessions without one by the newest that was dropped; members that neither list nor answers spoke of for an hour are let go, a drain being kept until then. Tried and not kept: a preference for open connections, a price on slow failures. It may hurt where connections are scarce and slow at once: then they are not shared out.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -3,16 +3,15 @@
 
 #include <algorithm>
 #include <cmath>
-#include <deque>
-#include <limits>
 #include <map>
 #include <random>
 #include <unordered_map>
 
+#include "state.h"
+
 namespace heathflow {
 namespace {
 
-constexpr Micros kNever = std::numeric_limits<Micros>::min() / 4;
 constexpr Micros kMillisecond = 1000;
 constexpr Micros kSecond = 1000 * kMillisecond;
 
@@ -78,6 +77,10 @@
 // A request of more than this many usual ones is too heavy for a member that is only tried.
 constexpr double kHeavy = 2;
 
+// Memory. When tokens and members that nobody hears of are let go, and how many tokens are always kept.
+constexpr Micros kForgetTokens = 60 * kSecond, kForgetMembers = 3600 * kSecond;
+constexpr std::size_t kTokensLeast = 4096;
+
 // Discovery. Shares of the time within which a router must ask: to spread first calls, wait, and back off.
 constexpr double kAskSpread = 0.02, kAskWait = 0.5, kAskBackoff = 0.05;
 
@@ -87,102 +90,6 @@
 enum TimerKind : std::uint64_t { kGiveUpTimer, kGroupTimer, kAskTimer };
 constexpr unsigned kTimerShift = 56;
 
-// A sum that fades over the given time.
-struct Fading {
-  double value = 0;
-  Micros at = kNever;
-  double now(Micros now, Micros over) const {
-    return at == kNever ? 0 : value * std::exp(-real(now - at) / real(over));
-  }
-  void add(double amount, Micros when, Micros over) {
-    value = now(when, over) + amount;
-    at = when;
-  }
-};
-
-struct Peer {
-  Member info;
-  bool ready = false;          // the contract lets us send to it
-  bool draining = false;       // listed so since its last launch
-  bool doubted = false;        // where the list is only advice: nothing but the list speaks of its state
-  Position position = kNever;  // the last known log position
-  Micros primaryAt = kNever;   // the newest time at which it is known to have been the primary
-  Micros replicaAt = kNever;   // the newest time at which it is known to have been a replica
-  Micros listedAt = kNever;    // when the list first took it for the primary
-  int inFlight = 0;
-  double load = 0;  // own requests in flight, each weighed by its class
-  double slowness = 1;
-  Micros slownessAt = kNever;
-  double limit = 1;
-  int strikes = 0;
-  int failures = 0;  // time-outs in a row
-  Micros blockedUntil = kNever;
-  Micros heardAt = kNever;
-  bool probing = false;
-  Micros probedAt = kNever;
-  Micros lagAt = kNever;
-  Micros lag = 0;              // how far behind it was last told to be, the age of the telling included
-  bool refused = false;        // it turned a connection away, and a probe is to tell whether it lives
-  bool lost = false;           // its connections broke, and it has not answered since
-  Micros returnedAt = kNever;  // when it answered again
-  Fading sent;                 // work sent to it, what it turned away included
-  Fading taken;                // work it has answered
-};
-
-// What was lately asked of a group's replicas, or its primary, and how much was served in time: by requests,
-// not by time, so that it tells a router with little traffic as much as a busy one.
-struct Record {
-  double asked = 0;
-  double served = 0;
-  void add(double good) {
-    asked += 1 - asked * kRecordGain;
-    served += good - served * kRecordGain;
-  }
-  // Whether a request with this luck, of 0 to 1, is one too many. What is worth something late may wait.
-  bool jammed(double luck, double late) const {
-    return luck * (asked + 1) < (1 - late) * (asked - kServedMultiple * served);
-  }
-};
-
-struct Group {
-  std::vector<MemberId> members;  // by id, so that their order is the same at every router
-  Micros primaryAt = kNever;      // the newest time at which any member is known to have been the primary
-  Micros soughtAt = kNever;
-  std::vector<std::deque<RequestId>> held;  // by class
-  std::size_t heldCount = 0;
-  Record replicas;
-  Record primary;
-  bool ticking = false;
-};
-
-struct Try {
-  MemberId member = 0;
-  Micros sentAt = 0;
-  double cost = 0;
-  bool pending = true;
-  bool ran = true;  // false once it is known that it never ran
-};
-
-struct Job {
-  Request request;
-  Micros arrived = 0;
-  Micros aimEnd = 0;
-  Position token = kNever;  // the session's write that a read must see
-  Consistency consistency = Consistency::Write;
-  std::vector<Try> tries;
-  int pending = 0;
-  double luck = 0;
-  bool over = false;
-  bool held = false;
-};
-
-// A mean that moves, and that few samples move faster.
-struct Mean {
-  double value = 0;
-  double samples = 0;
-  void add(double sample) { value += (sample - value) * std::max(kClassGain, 1 / ++samples); }
-};
-
 }  // namespace
 
 class Logic::Impl {
@@ -203,13 +110,13 @@
   // The record of members.
   void update(const Member& member);
   void left(Peer& peer);
+  bool forgotten(MemberId id);
   void learnRole(Peer& peer, Role role, Micros at);
   void learnPosition(Peer& peer, Position position);
   void learnReport(Peer& peer, const Report& report);
   void learnEnd(Peer& peer, const Job& job, Micros sentAt, const AttemptEnded& event);
   void strike(Peer& peer);
   void heard(Peer& peer);
-  void scarce();
   Peer* primaryOf(const Group& group, bool forWrite);
   void probe(Peer& peer);
   void seek(Group& group);
@@ -226,6 +133,7 @@
   void lookAgain(GroupId id, Group& group);
   void conclude(Job& job);
   void finish(RequestId id);
+  void sweepTokens();
   void eraseIfDone(RequestId id);
 
   // Judgements.
@@ -245,12 +153,13 @@
   double warmthOf(const Peer& peer) const;
   bool coldAllows(const Peer& peer, double cost) const;
   bool blocked(const Peer& peer) const { return now_ < peer.blockedUntil; }
-  bool connectionsScarce() const { return now_ - scarceAt_ < kScarceFor; }
   bool takesPacks(const Peer& peer) const { return peer.ready && !peer.doubted && !blocked(peer); }
   // Guards against ghosts: one that nothing but the list vouches for and that failed gets probes only.
   bool ghost(const Peer& peer) const { return peer.strikes > 0 && peer.doubted; }
   double limitOf(const Peer& peer) const { return peer.strikes > 0 ? std::min(1.0, peer.limit) : peer.limit; }
   bool paced(const Peer& peer, const Job& job) const;
+  static void note(Record& record, double good);
+  bool jammed(const Record& record, const Job& job) const;
   double usualOf(const Job& job) const;
   double firstLimit() const { return std::max(1.0, kLimitStart / settings_.drivers); }
   Micros fallWindow() const { return std::max(settings_.fallWindow, kMillisecond); }
@@ -277,13 +186,16 @@
   std::map<GroupId, Group> groups_;
   std::unordered_map<RequestId, Job> jobs_;
   std::unordered_map<std::uint64_t, Position> sessions_;  // each session's last write position
-  std::vector<Mean> latencies_;                           // of each class's answers
+  Position oldToken_ = kNever;                            // the newest that was let go
+  std::size_t sweepAt_ = kTokensLeast;
+  std::vector<Mean> latencies_;  // of each class's answers
   std::vector<double> arrivals_;
-  double allWork_ = 0;        // sent lately
-  double ledWork_ = 0;        // and of that to primaries
-  Micros scarceAt_ = kNever;  // when connections were last known to be scarce
-  Mean mean_;                 // latency of all answers
-  double warmTaken_ = 0;      // the work that a warm member answers for this router in the contract's window
+  double allWork_ = 0;             // sent lately
+  double ledWork_ = 0;             // and of that to primaries
+  Micros slowConnectAt_ = kNever;  // when one last failed slowly
+  Micros scarceAt_ = kNever;       // when connections were last known to be scarce
+  Mean mean_;                      // latency of all answers
+  double warmTaken_ = 0;  // the work that a warm member answers for this router in the contract's window
   double probeCredit_ = kProbesSaved;
   double repeatCredit_ = kRepeatsSaved;
   Micros smallestBound_ = 0;
@@ -347,7 +259,10 @@
     }
   }
   for (const Member& member : event.members) update(member);
-  for (auto& [id, group] : groups_) pump(group);
+  for (auto& [id, group] : groups_) {
+    std::erase_if(group.members, [this](MemberId member) { return forgotten(member); });
+    pump(group);
+  }
 }
 
 void Logic::Impl::update(const Member& member) {
@@ -363,6 +278,7 @@
       peer.doubted = settings_.goneIsAdvice;
     }
   }
+  peer.namedAt = now_;
   if (member.state == MemberState::Gone) return left(peer);
   const bool launched = member.launched > peer.info.launched;
   if (launched) {
@@ -384,6 +300,15 @@
   peer.doubted = peer.doubted && peer.heardAt == kNever;
 }
 
+// Lets a member go that is not in use, and that neither the list nor an answer has spoken of for long.
+bool Logic::Impl::forgotten(MemberId id) {
+  const Peer& peer = peers_.at(id);
+  const bool idle = (!peer.ready || peer.doubted) && peer.inFlight == 0 && !peer.probing;
+  if (!idle || now_ - std::max(peer.namedAt, peer.heardAt) <= kForgetMembers) return false;
+  peers_.erase(id);
+  return true;
+}
+
 // Gone, or left out by the list. Where that binds nothing it goes on as it was, but must show that it lives.
 void Logic::Impl::left(Peer& peer) {
   peer.ready = peer.ready && settings_.goneIsAdvice;
@@ -478,10 +403,10 @@
     peer->strikes = peer->failures = 0;
     peer->blockedUntil = kNever;
     learnReport(*peer, event.report);
-  } else {
+  } else if (!event.turnedAway) {
     strike(*peer);
   }
-  if (peer->refused && event.ok) scarce();
+  if (peer->refused && event.ok && peer->ready && now_ - slowConnectAt_ > kScarceFor) scarceAt_ = now_;
   peer->refused = false;
   pump(groupOf(peer->info.group));
 }
@@ -494,17 +419,6 @@
   peer.blockedUntil = now_ + std::min(kBlockMost, kBlockLeast << (peer.strikes - 1));
 }
 
-// A member that lives turned a connection away. Guards against routers that sit on connections others need:
-// idle ones are closed, and for a while each one as soon as it is idle again.
-void Logic::Impl::scarce() {
-  if (!connectionsScarce()) {
-    for (const auto& [id, group] : groups_) {
-      for (const MemberId member : group.members) act(Disconnect{member});
-    }
-  }
-  scarceAt_ = now_;
-}
-
 // A member whose connections broke and that answers again has most likely started anew, and is cold long
 // before the list tells. One that could only not be reached (no connection, silence) is not taken for that.
 void Logic::Impl::heard(Peer& peer) {
@@ -526,10 +440,12 @@
   }
   learnReport(peer, event.report);
   if (event.outcome == Outcome::Reset) peer.lost = true;
-  // Turned away at once and not for want of an answer: it is dead, or its connections are all taken.
-  if (event.outcome == Outcome::ConnectFailed && event.elapsed < settings_.connectTimeout / 2) {
-    peer.refused = true;
-    probe(peer);
+  if (event.outcome == Outcome::ConnectFailed) {
+    // Turned away at once and not for want of an answer: it is dead, or its connections are all taken.
+    const bool slow = event.elapsed >= settings_.connectTimeout / 2;
+    if (slow) slowConnectAt_ = now_;
+    peer.refused = peer.refused || !slow;
+    if (!slow) probe(peer);
   }
   if (event.outcome == Outcome::ConnectFailed || event.outcome == Outcome::Reset) return strike(peer);
   if (event.outcome == Outcome::TimedOut && ++peer.failures >= kFailuresToBlock) strike(peer);
@@ -541,14 +457,14 @@
   if (ok || unserved) {
     Group& group = groupOf(job.request.group);
     Record& record = &peer == primaryOf(group, false) ? group.primary : group.replicas;
-    record.add(ok && now_ <= job.aimEnd ? 1 : 0);
+    note(record, ok && now_ <= job.aimEnd ? 1 : 0);
   }
 
   Mean& usual = latencies_[job.request.classIndex];
   const auto elapsed = real(event.elapsed);
   if (ok) {
-    usual.add(elapsed);
-    mean_.add(elapsed);
+    usual.add(elapsed, kClassGain);
+    mean_.add(elapsed, kClassGain);
     peer.taken.add(costOf(job), now_, fallWindow());
     if (warmthOf(peer) >= 1) warmTaken_ += kTakenGain * (peer.taken.now(now_, fallWindow()) - warmTaken_);
   }
@@ -623,6 +539,17 @@
   return used <= kColdShare * core / settings_.drivers;
 }
 
+void Logic::Impl::note(Record& record, double good) {
+  record.asked += 1 - record.asked * kRecordGain;
+  record.served += good - record.served * kRecordGain;
+}
+
+// Whether a request with its luck is one too many. What is worth something late may wait.
+bool Logic::Impl::jammed(const Record& record, const Job& job) const {
+  const double excess = record.asked - kServedMultiple * record.served;
+  return job.luck * (record.asked + 1) < (1 - classOf(job).lateShare) * excess;
+}
+
 // Many routers with one request each are a crowd too: a limit below one spaces its requests out.
 bool Logic::Impl::paced(const Peer& peer, const Job& job) const {
   return peer.limit >= 1 || real(now_ - peer.sent.at) >= usualOf(job) * (1 / peer.limit - 1);
@@ -697,7 +624,7 @@
         job.token = now_ - std::max<Micros>(0, *request.sinceLastWrite - kTokenSlack);
     } else if (settings_.tokens == TokenMode::Remembered) {
       const auto found = sessions_.find(request.session);
-      if (found != sessions_.end()) job.token = found->second;
+      job.token = found != sessions_.end() ? found->second : oldToken_;
     } else {
       job.consistency = Consistency::Fresh;  // nothing tells what the session has written
     }
@@ -713,8 +640,8 @@
   probeStale(group);
   Record& record = needsPrimary(job) ? group.primary : group.replicas;
   job.luck = random();
-  if (record.jammed(job.luck, entry.lateShare)) {
-    record.add(0);
+  if (jammed(record, job)) {
+    note(record, 0);
     conclude(job);
     return eraseIfDone(request.id);
   }
@@ -757,7 +684,7 @@
     seek(group);  // no guess: a server that may be stale gets no read
     return nullptr;
   }
-  if (!toPrimary && group.primary.jammed(job.luck, classOf(job).lateShare)) return nullptr;
+  if (!toPrimary && jammed(group.primary, job)) return nullptr;
   if (primary->load >= limitOf(*primary) || !paced(*primary, job) || !coldAllows(*primary, costOf(job)))
     return nullptr;
   return primary;
@@ -783,7 +710,6 @@
   Peer* best = nullptr;
   Peer* advanced = nullptr;
   Peer* hopeful = nullptr;  // a probe may show it current enough
-  double bestHope = 0;
   bool probing = false;
   bool known = false;
   double bestScore = 0;
@@ -802,11 +728,7 @@
       probing = probing || peer.probing;
       // Any of those that may be current enough, so that not all routers ask, and then crowd, the same one.
       const bool may = room && peer.lag <= now_ - need && now_ - peer.probedAt >= freshen;
-      const double hope = may ? random() : 0;
-      if (hope > bestHope) {
-        hopeful = &peer;
-        bestHope = hope;
-      }
+      if (may && (hopeful == nullptr || random() < 0.5)) hopeful = &peer;
       const bool tried =
           std::any_of(job.tries.begin(), job.tries.end(), [&](const Try& t) { return t.member == id; });
       const bool hopeless = peer.lag > now_ - need && now_ - peer.lagAt < now_ - need;
@@ -929,13 +851,15 @@
     peer->inFlight = std::max(0, peer->inFlight - 1);
     peer->load = peer->inFlight == 0 ? 0 : std::max(0.0, peer->load - attempt.cost);
     learnEnd(*peer, job, attempt.sentAt, event);
-    if (event.outcome == Outcome::Ok && connectionsScarce()) act(Disconnect{attempt.member});
+    // Guards against routers that sit on idle connections which others need while connections are scarce.
+    if (event.outcome == Outcome::Ok && now_ - scarceAt_ < kScarceFor) act(Disconnect{attempt.member});
   }
   if (event.outcome == Outcome::Ok && classOf(job).consistency == Consistency::Write &&
       job.request.session != 0) {
     // Where the commit is not told it is no later than now.
     Position& token = sessions_.try_emplace(job.request.session, kNever).first->second;
     token = std::max(token, event.position.value_or(now_));
+    if (sessions_.size() >= sweepAt_) sweepTokens();
   }
   if (event.finished) job.over = true;
   Group& group = groupOf(job.request.group);
@@ -953,6 +877,17 @@
   pump(group);
 }
 
+// Lets old tokens go, so that memory does not grow with the sessions ever seen. A session without one then
+// needs at least the newest that was dropped, which all but hopeless replicas cover.
+void Logic::Impl::sweepTokens() {
+  std::erase_if(sessions_, [this](const auto& entry) {
+    const bool old = now_ - entry.second > kForgetTokens;
+    if (old) oldToken_ = std::max(oldToken_, entry.second);
+    return old;
+  });
+  sweepAt_ = std::max(kTokensLeast, 2 * sessions_.size());
+}
+
 // The request's one final answer.
 void Logic::Impl::conclude(Job& job) {
   if (job.over) return;
--- a/src/logic.h
+++ b/src/logic.h
@@ -118,6 +118,7 @@
   bool ok = false;
   Micros elapsed = 0;
   Report report;
+  bool turnedAway = false;  // the member lives, but takes no more probes at present
 };
 struct TimerFired {
   std::uint64_t token = 0;
--- /dev/null
+++ b/src/state.h
@@ -0,0 +1,106 @@
+// What a router keeps of members, groups and requests: data only. What is done with it is decided in
+// logic.cpp.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <limits>
+#include <vector>
+
+#include "logic.h"
+
+namespace heathflow {
+
+constexpr Micros kNever = std::numeric_limits<Micros>::min() / 4;
+
+// A sum that fades over the given time.
+struct Fading {
+  double value = 0;
+  Micros at = kNever;
+  double now(Micros now, Micros over) const {
+    return at == kNever ? 0 : value * std::exp(-static_cast<double>(now - at) / static_cast<double>(over));
+  }
+  void add(double amount, Micros when, Micros over) {
+    value = now(when, over) + amount;
+    at = when;
+  }
+};
+
+struct Peer {
+  Member info;
+  bool ready = false;          // the contract lets us send to it
+  bool draining = false;       // listed so since its last launch
+  bool doubted = false;        // where the list is only advice: nothing but the list speaks of its state
+  Position position = kNever;  // the last known log position
+  Micros primaryAt = kNever;   // the newest time at which it is known to have been the primary
+  Micros replicaAt = kNever;   // the newest time at which it is known to have been a replica
+  Micros listedAt = kNever;    // when the list first took it for the primary
+  int inFlight = 0;
+  double load = 0;  // own requests in flight, each weighed by its class
+  double slowness = 1;
+  Micros slownessAt = kNever;
+  double limit = 1;
+  int strikes = 0;
+  int failures = 0;  // time-outs in a row
+  Micros blockedUntil = kNever;
+  Micros heardAt = kNever;
+  Micros namedAt = kNever;  // by the list
+  bool probing = false;
+  Micros probedAt = kNever;
+  Micros lagAt = kNever;
+  Micros lag = 0;              // how far behind it was last told to be, the age of the telling included
+  bool refused = false;        // it turned a connection away, and a probe is to tell whether it lives
+  bool lost = false;           // its connections broke, and it has not answered since
+  Micros returnedAt = kNever;  // when it answered again
+  Fading sent;                 // work sent to it, what it turned away included
+  Fading taken;                // work it has answered
+};
+
+// What was lately asked of a group's replicas, or its primary, and how much was served in time: by requests,
+// not by time, so that it tells a router with little traffic as much as a busy one.
+struct Record {
+  double asked = 0;
+  double served = 0;
+};
+
+struct Group {
+  std::vector<MemberId> members;  // by id, so that their order is the same at every router
+  Micros primaryAt = kNever;      // the newest time at which any member is known to have been the primary
+  Micros soughtAt = kNever;
+  std::vector<std::deque<RequestId>> held;  // by class
+  std::size_t heldCount = 0;
+  Record replicas;
+  Record primary;
+  bool ticking = false;
+};
+
+struct Try {
+  MemberId member = 0;
+  Micros sentAt = 0;
+  double cost = 0;
+  bool pending = true;
+  bool ran = true;  // false once it is known that it never ran
+};
+
+struct Job {
+  Request request;
+  Micros arrived = 0;
+  Micros aimEnd = 0;
+  Position token = kNever;  // the session's write that a read must see
+  Consistency consistency = Consistency::Write;
+  std::vector<Try> tries;
+  int pending = 0;
+  double luck = 0;
+  bool over = false;
+  bool held = false;
+};
+
+// A mean that moves, and that few samples move faster.
+struct Mean {
+  double value = 0;
+  double samples = 0;
+  void add(double sample, double gain) { value += (sample - value) * std::max(gain, 1 / ++samples); }
+};
+
+}  // namespace heathflow
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -217,7 +217,9 @@
                      apply(AttemptStreaming{r.request, r.attempt});
                    },
                    [&](const PingRecord& r) {
-                     apply(ProbeEnded{r.member, r.status == 1, r.elapsed, reportOf(settings, r.report)});
+                     const Outcome outcome = outcomeOf(r.status);
+                     apply(ProbeEnded{r.member, outcome == Outcome::Ok, r.elapsed,
+                                      reportOf(settings, r.report), outcome == Outcome::Full});
                    },
                    [&](const AttemptEndRecord& r) { apply(attemptEndOf(settings, r)); },
                    [&](const RingRecord& r) { apply(TimerFired{r.label}); },
