--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -27,7 +27,7 @@
 constexpr Micros kTokenSlack = kMillisecond;
 
 // Failover. How often the members of a group without a primary are asked who leads.
-constexpr Micros kSeekEvery = 200 * kMillisecond;
+constexpr Micros kSeekEvery = 400 * kMillisecond;
 // How often held requests are looked at again when nothing else happens.
 constexpr Micros kHoldTick = 20 * kMillisecond;
 
