--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -450,7 +450,7 @@
   if (event.outcome == Outcome::ConnectFailed || event.outcome == Outcome::Reset) return strike(peer);
   if (event.outcome == Outcome::TimedOut && ++peer.failures >= kFailuresToBlock) strike(peer);
   // Guards against a member that is down without a word: our few requests there would not tell for long.
-  if (event.outcome == Outcome::TimedOut && peer.heardAt <= sentAt && now_ - peer.probedAt > kSeekEvery)
+  if (event.outcome == Outcome::TimedOut && peer.heardAt <= sentAt && now_ - peer.probedAt > kBlockLeast)
     probe(peer);
   const bool ok = event.outcome == Outcome::Ok;
   const bool unserved = event.outcome == Outcome::Full || event.outcome == Outcome::TimedOut;
@@ -767,7 +767,7 @@
 
 void Logic::Impl::send(Job& job, Peer& peer) {
   const double cost = costOf(job);
-  const Micros silence = std::max(settings_.connectTimeout, kSeekEvery);
+  const Micros silence = std::max(settings_.connectTimeout, kBlockLeast);
   const bool quiet = peer.inFlight > 0 && now_ - peer.heardAt > silence;
   act(Attempt{job.request.id, peer.info.id, 0});
   job.tries.push_back({peer.info.id, now_, cost, true, true});
