What clients that left early leave behind is cancelled and counts as not served

By what evidence the servers were not the cause: their answers a second stay level, while from one second to the next clients leave and marked repeats rise in the same number, and only then answers slow down. Now pending attempts are cancelled when their client has left, where the settings allow it, and a cancelled attempt counts as not served, for the group's record and the member's limit. Should hold against any client that gives up early. It may hurt where single clients leave for reasons of their own while the servers are well: each counts against its group.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -105,7 +105,7 @@
   void on(const AttemptStreaming& event) { finish(event.request); }
   void on(const ProbeEnded& event);
   void on(const TimerFired& event);
-  void on(const ClientLeft& event) { finish(event.request); }
+  void on(const ClientLeft& event);
 
   // The record of members.
   void update(const Member& member);
@@ -453,7 +453,8 @@
   if (event.outcome == Outcome::TimedOut && peer.heardAt <= sentAt && now_ - peer.probedAt > kBlockLeast)
     probe(peer);
   const bool ok = event.outcome == Outcome::Ok;
-  const bool unserved = event.outcome == Outcome::Full || event.outcome == Outcome::TimedOut;
+  const bool unserved = event.outcome == Outcome::Full || event.outcome == Outcome::TimedOut ||
+                        event.outcome == Outcome::Cancelled;
   if (ok || unserved) {
     Group& group = groupOf(job.request.group);
     Record& record = &peer == primaryOf(group, false) ? group.primary : group.replicas;
@@ -933,6 +934,17 @@
   }
 }
 
+// Guards against work for clients that have gone: what they left behind is cancelled where that is allowed.
+void Logic::Impl::on(const ClientLeft& event) {
+  const auto found = jobs_.find(event.request);
+  if (found == jobs_.end()) return;
+  const std::vector<Try>& tries = found->second.tries;
+  for (std::uint32_t i = 0; i < tries.size() && settings_.mayCancel; ++i) {
+    if (tries[i].pending) act(Cancel{event.request, i});
+  }
+  finish(event.request);
+}
+
 // Nothing more is owed. A started stream belongs to its client, and its end comes as an outcome.
 void Logic::Impl::finish(RequestId id) {
   const auto found = jobs_.find(id);
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -862,6 +862,38 @@
   for (int i = 0; i < 4; ++i) EXPECT_NE(rig.sentTo(rig.ask(kAny)).at(0), member);
 }
 
+TEST(Load, WhatAClientThatLeftLeavesBehindIsCancelledAndCountsAsNotServed) {
+  Rig rig;
+  rig.usualGroup();
+  rig.usualRecord();
+  int sent = 0;
+  for (int i = 0; i < 40; ++i) {
+    rig.pass(kS);
+    rig.forget();
+    rig.usualRecord();
+    const auto read = rig.ask(kAny, 600 * kMs);
+    if (rig.sentTo(read).empty()) continue;
+    ++sent;
+    rig.feed(ClientLeft{read});
+    ASSERT_EQ(rig.all<Cancel>().size(), 1U);
+    EXPECT_EQ(rig.all<Cancel>()[0].request, read);
+    rig.end(read, 0, Outcome::Cancelled);
+    EXPECT_EQ(rig.refusals(read) + rig.failures(read), 0);
+  }
+  EXPECT_LT(sent, 25);
+}
+
+TEST(Load, WhereCancellingIsNotAllowedNothingIsCancelled) {
+  Settings settings = makeSettings();
+  settings.mayCancel = false;
+  Rig rig(settings);
+  rig.usualGroup();
+  rig.usualRecord();
+  const auto read = rig.ask(kAny);
+  rig.feed(ClientLeft{read});
+  EXPECT_TRUE(rig.all<Cancel>().empty());
+}
+
 TEST(Load, AJammedGroupTurnsMostRequestsAwayAtOnceUntilItServesAgain) {
   Rig rig;
   rig.usualGroup();
