A late answer counts in a group's record for what it is still worth

Cause: a module test with a primary behind a slow path, all of whose answers are late, had two in five writes turned away: the record counted them as not served, though late writes are worth a half. By what evidence the primary is not to be judged: its probes pass and every write ends well. Kept for what it means where late answers are of use; it may let a jam of such classes last a little longer.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -458,7 +458,7 @@
   if (ok || unserved) {
     Group& group = groupOf(job.request.group);
     Record& record = &peer == primaryOf(group, false) ? group.primary : group.replicas;
-    note(record, ok && now_ <= job.aimEnd ? 1 : 0);
+    note(record, !ok ? 0 : now_ <= job.aimEnd ? 1 : classOf(job).lateShare);
   }
 
   Mean& usual = latencies_[job.request.classIndex];
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -846,6 +846,25 @@
   }
 }
 
+TEST(Health, APrimaryBehindASlowPathIsStillThePrimary) {
+  Rig rig;
+  rig.usualGroup();
+  rig.usualRecord();
+  int served = 0;
+  for (int i = 0; i < 20; ++i) {
+    rig.pass(2 * kS);
+    rig.forget();
+    rig.probed(1, Role::Primary, rig.now - 200 * kMs);  // its probes are slow as well, but they pass
+    const auto write = rig.ask(kUnsafeWrite);
+    if (rig.sentTo(write).empty()) continue;
+    ++served;
+    ASSERT_EQ(rig.sentTo(write), Members{1});
+    rig.now += 600 * kMs;  // past the aim, and still worth a half
+    rig.end(write, 0, Outcome::Ok, Role::Primary, rig.now, 600 * kMs);
+  }
+  EXPECT_GE(served, 15);
+}
+
 TEST(Health, ATimeOutWithoutAWordIsAskedAboutByAProbe) {
   Rig rig;
   rig.usualGroup();
