Clean-up: one scan for the primary, packing work only for long reads, test setup shared

The share of long reads and the count of replicas that take them were worked out for every read, though since the weight of packed replicas was dropped only long reads use them. The primary was looked for up to three times for one read; a variable was written and never read. 'Led last' stood in three places, the reset of failures beside both calls of heard(), the writing of a member three times in the codec. A predicate that erased is now a question, and a parameter that the request already holds is gone. Tests whose usual group is known start from KnownRig.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -110,11 +110,11 @@
   // The record of members.
   void update(const Member& member);
   void left(Peer& peer);
-  bool forgotten(MemberId id);
+  bool forgotten(const Peer& peer) const;
   void learnRole(Peer& peer, Role role, Micros at);
   void learnPosition(Peer& peer, Position position);
   void learnReport(Peer& peer, const Report& report);
-  void learnEnd(Peer& peer, const Job& job, Micros sentAt, const AttemptEnded& event);
+  void learnEnd(Peer& peer, const Job& job, const AttemptEnded& event);
   void strike(Peer& peer);
   void heard(Peer& peer);
   Peer* primaryOf(const Group& group, bool forWrite);
@@ -126,7 +126,8 @@
   void place(Job& job, Group& group);
   bool tryPlace(Job& job, Group& group);
   Peer* choose(Job& job, Group& group);
-  Peer* chooseReplica(Job& job, Group& group, std::optional<double>& crowd);
+  double packsOf(const Group& group, const Peer* primary) const;
+  Peer* chooseReplica(Job& job, Group& group, const Peer* primary, std::optional<double>& crowd);
   void send(Job& job, Peer& peer);
   void hold(Job& job, Group& group);
   void pump(Group& group);
@@ -153,6 +154,9 @@
   double warmthOf(const Peer& peer) const;
   bool coldAllows(const Peer& peer, double cost) const;
   bool blocked(const Peer& peer) const { return now_ < peer.blockedUntil; }
+  static bool ledLast(const Peer& peer, const Group& group) {
+    return peer.primaryAt != kNever && peer.primaryAt == group.primaryAt;
+  }
   bool takesPacks(const Peer& peer) const { return peer.ready && !peer.doubted && !blocked(peer); }
   // Guards against ghosts: one that nothing but the list vouches for and that failed gets probes only.
   bool ghost(const Peer& peer) const { return peer.strikes > 0 && peer.doubted; }
@@ -259,8 +263,9 @@
     }
   }
   for (const Member& member : event.members) update(member);
+  std::erase_if(peers_, [this](const auto& entry) { return forgotten(entry.second); });
   for (auto& [id, group] : groups_) {
-    std::erase_if(group.members, [this](MemberId member) { return forgotten(member); });
+    std::erase_if(group.members, [this](MemberId member) { return !peers_.contains(member); });
     pump(group);
   }
 }
@@ -300,13 +305,10 @@
   peer.doubted = peer.doubted && peer.heardAt == kNever;
 }
 
-// Lets a member go that is not in use, and that neither the list nor an answer has spoken of for long.
-bool Logic::Impl::forgotten(MemberId id) {
-  const Peer& peer = peers_.at(id);
+// Whether a member may be let go: not in use, and neither list nor answer has spoken of it for long.
+bool Logic::Impl::forgotten(const Peer& peer) const {
   const bool idle = (!peer.ready || peer.doubted) && peer.inFlight == 0 && !peer.probing;
-  if (!idle || now_ - std::max(peer.namedAt, peer.heardAt) <= kForgetMembers) return false;
-  peers_.erase(id);
-  return true;
+  return idle && now_ - std::max(peer.namedAt, peer.heardAt) > kForgetMembers;
 }
 
 // Gone, or left out by the list. Where that binds nothing it goes on as it was, but must show that it lives.
@@ -350,9 +352,7 @@
   for (const MemberId id : group.members) {
     Peer& peer = peers_.at(id);
     if (!peer.ready || blocked(peer) || ghost(peer)) continue;
-    if (peer.primaryAt != kNever && peer.primaryAt == group.primaryAt && peer.primaryAt > peer.replicaAt) {
-      return &peer;
-    }
+    if (ledLast(peer, group) && peer.primaryAt > peer.replicaAt) return &peer;
     // The list is late: it counts while nothing better is known, or for writes where no probe can tell.
     const bool silent = peer.replicaAt == kNever && group.primaryAt == kNever;
     if (peer.listedAt == kNever || !(silent || (forWrite && !settings_.mayProbe))) continue;
@@ -387,8 +387,7 @@
     // One that lags shows little that is new: the further behind, the less often it is asked.
     const Micros rest = std::max(gap, part(kProbeGapShare, peer.lag));
     if (now_ - peer.probedAt < rest || blocked(peer)) continue;
-    const bool leads = peer.primaryAt != kNever && peer.primaryAt == group.primaryAt;
-    if (!peer.doubted && (leads || now_ - peer.position <= due)) continue;
+    if (!peer.doubted && (ledLast(peer, group) || now_ - peer.position <= due)) continue;
     if (!peer.probing && peer.ready) probeCredit_ -= 1;
     probe(peer);
   }
@@ -400,7 +399,6 @@
   peer->probing = false;
   if (event.ok) {
     heard(*peer);
-    peer->strikes = peer->failures = 0;
     peer->blockedUntil = kNever;
     learnReport(*peer, event.report);
   } else if (!event.turnedAway) {
@@ -426,14 +424,15 @@
   peer.doubted = false;
   if (peer.lost) peer.returnedAt = now_;
   peer.lost = false;
+  peer.strikes = peer.failures = 0;
 }
 
-void Logic::Impl::learnEnd(Peer& peer, const Job& job, Micros sentAt, const AttemptEnded& event) {
+void Logic::Impl::learnEnd(Peer& peer, const Job& job, const AttemptEnded& event) {
+  const Micros sentAt = job.tries[event.attempt].sentAt;
   const bool answered = event.outcome == Outcome::Ok || event.outcome == Outcome::Error ||
                         event.outcome == Outcome::Full || event.outcome == Outcome::Miss;
   if (answered) {
     heard(peer);
-    peer.strikes = peer.failures = 0;
     if (event.role) learnRole(peer, *event.role, now_);
     // For a write that went through the position is its commit, which the primary holds.
     if (event.position) learnPosition(peer, *event.position);
@@ -644,9 +643,9 @@
   if (jammed(record, job)) {
     note(record, 0);
     conclude(job);
-    return eraseIfDone(request.id);
+  } else {
+    place(job, group);
   }
-  place(job, group);
   eraseIfDone(request.id);
 }
 
@@ -671,16 +670,15 @@
 // and when there is none to the primary. Null: hold.
 Peer* Logic::Impl::choose(Job& job, Group& group) {
   const bool toPrimary = needsPrimary(job);
+  Peer* primary = primaryOf(group, job.consistency == Consistency::Write);
   if (!toPrimary) {
     std::optional<double> crowd;  // the highest limit of the replicas that qualify but have no room
-    if (Peer* replica = chooseReplica(job, group, crowd)) return replica;
+    if (Peer* replica = chooseReplica(job, group, primary, crowd)) return replica;
     // Load limiting: wait for one of those that qualify, unless the primary has room to spare.
-    const Peer* spare = crowd ? primaryOf(group, false) : nullptr;
-    if (crowd &&
-        (spare == nullptr || spare->load >= kSpareShare * limitOf(*spare) || limitOf(*spare) < *crowd))
+    if (crowd && (primary == nullptr || primary->load >= kSpareShare * limitOf(*primary) ||
+                  limitOf(*primary) < *crowd))
       return nullptr;
   }
-  Peer* primary = primaryOf(group, job.consistency == Consistency::Write);
   if (primary == nullptr) {
     seek(group);  // no guess: a server that may be stale gets no read
     return nullptr;
@@ -691,40 +689,40 @@
   return primary;
 }
 
-Peer* Logic::Impl::chooseReplica(Job& job, Group& group, std::optional<double>& crowd) {
-  const Position need = needOf(job);
-  const double cost = costOf(job);
-  // Spread over all replicas, long reads would leave none current, so all routers pack them on the first by
-  // id, while they can wait: on as many as it takes for these to carry no more than their even part.
-  const bool packed = longRead(job.request.classIndex);
-  const double waited = real(now_ - job.arrived) / real(std::max<Micros>(1, classOf(job).aim));
-  const auto freshen = part(kProbeGapShare, now_ - need);
-  const Peer* primary = primaryOf(group, false);
+// On how many replicas long reads go. Spread over all, they would leave none current, so all routers pack
+// them on the first by id, while they can wait: on as many as it takes for these to carry no more than their
+// even part.
+double Logic::Impl::packsOf(const Group& group, const Peer* primary) const {
   double even = 0;
   for (const MemberId id : group.members) {
     const Peer& peer = peers_.at(id);
     if (&peer != primary && takesPacks(peer)) even += 1;
   }
-  const double heavy = longShare() * even;  // in even parts
-  const double packs = std::max(1.0, std::ceil(heavy));
+  return std::max(1.0, std::ceil(longShare() * even));
+}
+
+Peer* Logic::Impl::chooseReplica(Job& job, Group& group, const Peer* primary, std::optional<double>& crowd) {
+  const Position need = needOf(job);
+  const double cost = costOf(job);
+  const bool packed = longRead(job.request.classIndex);
+  const double waited = real(now_ - job.arrived) / real(std::max<Micros>(1, classOf(job).aim));
+  const auto freshen = part(kProbeGapShare, now_ - need);
+  const double packs = packed ? packsOf(group, primary) : 0;
   double place = 0;
   Peer* best = nullptr;
   Peer* advanced = nullptr;
   Peer* hopeful = nullptr;  // a probe may show it current enough
   bool probing = false;
-  bool known = false;
   double bestScore = 0;
   for (const MemberId id : group.members) {
     Peer& peer = peers_.at(id);
     if (!peer.ready || &peer == primary || ghost(peer) || blocked(peer)) continue;
-    const bool takes = takesPacks(peer) && ++place <= packs;
-    if (packed && !takes && waited < kPackWait) {
+    if (packed && !(takesPacks(peer) && ++place <= packs) && waited < kPackWait) {
       crowd = crowd.value_or(0);
       continue;
     }
     const double load = packed ? peer.inFlight : peer.load;
     const bool room = load < limitOf(peer) && paced(peer, job) && coldAllows(peer, cost);
-    known = known || peer.position != kNever;
     if (need != kNever && peer.position < need) {
       probing = probing || peer.probing;
       // Any of those that may be current enough, so that not all routers ask, and then crowd, the same one.
@@ -741,7 +739,7 @@
       crowd = std::max(crowd.value_or(0), limitOf(peer));
       continue;
     }
-    const double work = (peer.load / warmthOf(peer) + cost);
+    const double work = peer.load / warmthOf(peer) + cost;
     double score = work * slownessOf(peer) * (1 + kJitter * random());
     if (peer.doubted) score *= kTriedPenalty;
     for (const Try& attempt : job.tries) score *= attempt.member == id ? kTriedPenalty : 1;
@@ -776,7 +774,7 @@
   if (peer.inFlight++ == 0) peer.heardAt = std::max(peer.heardAt, now_);
   peer.load += cost;
   allWork_ += cost;
-  if (peer.primaryAt != kNever && peer.primaryAt == groupOf(peer.info.group).primaryAt) ledWork_ += cost;
+  if (ledLast(peer, groupOf(peer.info.group))) ledWork_ += cost;
   peer.sent.add(cost, now_, fallWindow());
   // Guards against a member that has gone quiet with requests of ours on it, which writes would never show.
   if (quiet && now_ - peer.probedAt > silence) probe(peer);
@@ -851,7 +849,7 @@
   if (Peer* peer = find(attempt.member)) {
     peer->inFlight = std::max(0, peer->inFlight - 1);
     peer->load = peer->inFlight == 0 ? 0 : std::max(0.0, peer->load - attempt.cost);
-    learnEnd(*peer, job, attempt.sentAt, event);
+    learnEnd(*peer, job, event);
     // Guards against routers that sit on idle connections which others need while connections are scarce.
     if (event.outcome == Outcome::Ok && now_ - scarceAt_ < kScarceFor) act(Disconnect{attempt.member});
   }
--- a/src/wirehost/codec.cpp
+++ b/src/wirehost/codec.cpp
@@ -167,7 +167,7 @@
 void ReplyWriter::forward(std::uint32_t request, WireMember member, std::uint64_t abandonAt) {
   begin(11);
   put(request);
-  bytes_.append(reinterpret_cast<const char*>(&member), kMemberSize);
+  putMember(member);
   put(abandonAt);
 }
 
@@ -199,14 +199,18 @@
   put(static_cast<std::uint8_t>(on ? 1 : 0));
 }
 
+void ReplyWriter::putMember(WireMember member) {
+  bytes_.append(reinterpret_cast<const char*>(&member), kMemberSize);
+}
+
 void ReplyWriter::inspect(WireMember member) {
   begin(1);
-  bytes_.append(reinterpret_cast<const char*>(&member), kMemberSize);
+  putMember(member);
 }
 
 void ReplyWriter::release(WireMember member) {
   begin(4);
-  bytes_.append(reinterpret_cast<const char*>(&member), kMemberSize);
+  putMember(member);
 }
 
 const std::string& ReplyWriter::finish() {
--- a/src/wirehost/codec.h
+++ b/src/wirehost/codec.h
@@ -132,6 +132,7 @@
  private:
   template <typename T>
   void put(T value);
+  void putMember(WireMember member);
   void begin(std::uint16_t code);
   std::string bytes_;
   std::uint32_t records_ = 0;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -17,17 +17,13 @@
 // ---- The design's rule ----
 
 TEST(Routing, WritesAndFreshReadsGoToThePrimary) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   EXPECT_EQ(rig.sentTo(rig.ask(kUnsafeWrite)), Members{1});
   EXPECT_EQ(rig.sentTo(rig.ask(kFresh)), Members{1});
 }
 
 TEST(Routing, AnyReadsGoToReplicasAndSpreadByRequestsInFlight) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   std::map<MemberId, int> sent;
   for (int i = 0; i < 6; ++i) ++sent[rig.sentTo(rig.ask(kAny)).at(0)];
   EXPECT_EQ(sent[1], 0);
@@ -69,9 +65,7 @@
 }
 
 TEST(Routing, APositionNeverGoesBack) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   rig.probed(2, Role::Replica, rig.now - 9 * kS);
   rig.probed(3, Role::Replica, rig.now - 9 * kS);
   EXPECT_NE(rig.sentTo(rig.ask(kBounded)), Members{1});
@@ -100,9 +94,7 @@
 TEST(Routing, RememberedTokensComeFromTheWritesAnswers) {
   Settings settings = makeSettings();
   settings.tokens = TokenMode::Remembered;
-  Rig rig(settings);
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig(settings);
   const auto write = rig.ask(kUnsafeWrite, 0, {}, 42);
   rig.end(write, 0, Outcome::Ok, Role::Primary, rig.now - 50 * kMs);
   // In the same instant: the replicas stand 100 ms back and lack that write.
@@ -116,9 +108,7 @@
 TEST(Routing, SessionReadsAreFreshWhereNothingTellsOfTheWrites) {
   Settings settings = makeSettings();
   settings.tokens = TokenMode::Unknown;
-  Rig rig(settings);
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig(settings);
   EXPECT_EQ(rig.sentTo(rig.ask(kSession)), Members{1});
 }
 
@@ -152,9 +142,7 @@
 TEST(Routing, LongAnyReadsArePackedOnTheFirstReplicaSoThatOthersStayCurrent) {
   Settings settings = makeSettings();
   settings.classes.push_back(makeClass(Consistency::Any, Effect::Safe, 4 * kS, 8 * kS, 0));
-  Rig rig(settings);
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig(settings);
   const auto heavy = static_cast<std::uint32_t>(settings.classes.size() - 1);
   for (int i = 0; i < 200; ++i) {
     const auto read = rig.ask(kAny);
@@ -278,9 +266,7 @@
 }
 
 TEST(Roles, ANewLaunchEndsAnOlderClaim) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   rig.now += kS;
   rig.list({makeMember(1, false, MemberState::Ready, rig.now - 10 * kMs)}, MembersChanged::Scope::Delta);
   EXPECT_EQ(rig.sentTo(rig.ask(kFresh)), Members{});
@@ -313,9 +299,7 @@
 }
 
 TEST(Failover, ALostPrimaryIsLeftAndItsSuccessorFoundByProbes) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   const auto write = rig.ask(kUnsafeWrite);
   rig.end(write, 0, Outcome::ConnectFailed);
   rig.pass(100 * kMs);
@@ -353,9 +337,7 @@
 
 TEST(Effects, AnUnsafeWriteThatMayHaveRunIsFailedAndNeverSentAgain) {
   for (const Outcome outcome : {Outcome::TimedOut, Outcome::Error, Outcome::Reset, Outcome::Cancelled}) {
-    Rig rig;
-    rig.usualGroup();
-    rig.usualRecord();
+    KnownRig rig;
     const auto write = rig.ask(kUnsafeWrite);
     rig.end(write, 0, outcome);
     rig.pass(6 * kS);
@@ -366,9 +348,7 @@
 }
 
 TEST(Effects, AnUnsafeWriteThatNeverRanIsSentAgain) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   const auto write = rig.ask(kUnsafeWrite);
   rig.end(write, 0, Outcome::Full);
   rig.pass(200 * kMs);
@@ -376,9 +356,7 @@
 }
 
 TEST(Effects, AKeyedWriteIsRepeatedWithinItsWindowOnly) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   const auto write = rig.ask(kKeyedWrite, 8 * kS);
   rig.end(write, 0, Outcome::Reset);
   rig.now += kS;
@@ -396,9 +374,7 @@
 TEST(Effects, AKeyedWriteStaysWithTheMemberThatDiscardsItsRepeats) {
   Settings settings = makeSettings();
   settings.classes[kKeyedWrite].scope = KeyScope::Member;
-  Rig rig(settings);
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig(settings);
   const auto write = rig.ask(kKeyedWrite);
   rig.end(write, 0, Outcome::Reset);
   rig.now += kS;
@@ -408,9 +384,7 @@
 }
 
 TEST(Effects, ASafeReadIsTriedElsewhere) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   const auto read = rig.ask(kBounded);
   const MemberId first = rig.sentTo(read).at(0);
   rig.end(read, 0, Outcome::Reset);
@@ -419,9 +393,7 @@
 }
 
 TEST(Effects, RepeatsDoNotMultiplyAnOverload) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   std::size_t attempts = 0;
   for (int i = 0; i < 300; ++i) {
     rig.now += kMs;
@@ -438,9 +410,7 @@
 TEST(Effects, NoMoreAttemptsThanAllowed) {
   Settings settings = makeSettings();
   settings.maxAttempts = 2;
-  Rig rig(settings);
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig(settings);
   const auto read = rig.ask(kAny);
   for (std::uint32_t n = 0; n < 2; ++n) {
     rig.end(read, n, Outcome::Reset);
@@ -453,9 +423,7 @@
 // ---- Answers ----
 
 TEST(Answers, ARequestThatArrivesTooLateIsRefusedAtOnce) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   const auto late = rig.ask(kAny, -kMs);
   EXPECT_EQ(rig.refusals(late), 1);
   EXPECT_TRUE(rig.sentTo(late).empty());
@@ -481,9 +449,7 @@
 }
 
 TEST(Answers, ATimeOutAtTheDeadlineIsAnsweredAtOnce) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   const auto write = rig.ask(kUnsafeWrite, 300 * kMs);
   rig.now += 300 * kMs;
   rig.end(write, 0, Outcome::TimedOut);
@@ -520,18 +486,14 @@
 
 TEST(Members, NothingNewGoesToOneThatDrainsOrIsGone) {
   for (const MemberState state : {MemberState::Draining, MemberState::Gone}) {
-    Rig rig;
-    rig.usualGroup();
-    rig.usualRecord();
+    KnownRig rig;
     rig.list({makeMember(2, false, state)}, MembersChanged::Scope::Delta);
     for (int i = 0; i < 6; ++i) EXPECT_EQ(rig.sentTo(rig.ask(kAny)), Members{3});
   }
 }
 
 TEST(Members, OneThatACompleteListLeavesOutIsGone) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   rig.list({makeMember(1, true), makeMember(3)});
   for (int i = 0; i < 6; ++i) EXPECT_EQ(rig.sentTo(rig.ask(kAny)), Members{3});
 }
@@ -544,9 +506,7 @@
 
 TEST(Advice, WhoTheListCallsGoneGoesOnServingWithItsRoleAndPosition) {
   for (const bool empty : {true, false}) {
-    Rig rig(adviceSettings());
-    rig.usualGroup();
-    rig.usualRecord();
+    KnownRig rig(adviceSettings());
     if (empty) {
       rig.list({});
     } else {
@@ -582,9 +542,7 @@
 }
 
 TEST(Advice, AGhostThatNeverAnswersGetsProbesOnly) {
-  Rig rig(adviceSettings());
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig(adviceSettings());
   rig.list({makeMember(9)}, MembersChanged::Scope::Delta);
   rig.probeFailed(9);
   for (int i = 0; i < 40; ++i) {
@@ -599,9 +557,7 @@
 }
 
 TEST(Advice, AnOldListDoesNotLiftADrainButANewLaunchDoes) {
-  Rig rig(adviceSettings());
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig(adviceSettings());
   rig.list({makeMember(2, false, MemberState::Draining)}, MembersChanged::Scope::Delta);
   rig.list({makeMember(1, true), makeMember(3)});
   rig.list({makeMember(1, true), makeMember(2), makeMember(3)});
@@ -625,9 +581,7 @@
 }
 
 TEST(Members, OnesNobodyHearsOfForLongAreLetGoAndADrainIsKeptUntilThen) {
-  Rig rig(adviceSettings());
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig(adviceSettings());
   rig.list({makeMember(2, false, MemberState::Draining)}, MembersChanged::Scope::Delta);
   rig.now += 1800 * kS;
   rig.list({makeMember(2)}, MembersChanged::Scope::Delta);  // an old list does not lift the drain
@@ -645,9 +599,7 @@
 TEST(Routing, TokensThatAreLetGoStillBindReads) {
   Settings settings = makeSettings();
   settings.tokens = TokenMode::Remembered;
-  Rig rig(settings);
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig(settings);
   rig.probed(2, Role::Replica, rig.now - 10 * kS);
   rig.probed(3, Role::Replica, rig.now - 10 * kS);
   const Position first = rig.now;
@@ -673,17 +625,13 @@
 }
 
 TEST(Health, AProbeThatIsTurnedAwayProvesLife) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   for (const MemberId member : {2, 3}) rig.feed(ProbeEnded{member, false, kMs, {}, true});
   EXPECT_NE(rig.sentTo(rig.ask(kAny)).at(0), 1U);
 }
 
 TEST(Members, ADrainingPrimaryGetsNoWrites) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   rig.list({makeMember(1, true, MemberState::Draining)}, MembersChanged::Scope::Delta);
   EXPECT_TRUE(rig.sentTo(rig.ask(kUnsafeWrite)).empty());
 }
@@ -709,9 +657,7 @@
 }
 
 TEST(Discovery, AFailedCallLeavesTheListInForce) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   rig.list({}, MembersChanged::Scope::Failed);
   EXPECT_EQ(rig.sentTo(rig.ask(kAny)).size(), 1U);
 }
@@ -738,9 +684,7 @@
 }
 
 TEST(Cold, AMemberThatJustStartedGetsLessThanWhenItIsWarm) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   sentToCold(rig, Outcome::Ok, 400);
   rig.now += 8 * kS;  // it was down for a while
   rig.list({makeMember(3, false, MemberState::Ready, rig.now)}, MembersChanged::Scope::Delta);
@@ -754,9 +698,7 @@
 }
 
 TEST(Cold, WhatItTurnsAwayCountsToo) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   sentToCold(rig, Outcome::Ok, 400);
   rig.now += 8 * kS;  // it was down for a while
   rig.list({makeMember(3, false, MemberState::Ready, rig.now)}, MembersChanged::Scope::Delta);
@@ -767,9 +709,7 @@
 
 TEST(Cold, AMemberThatBrokeAndAnswersAgainIsColdBeforeTheListTells) {
   const auto sentAfter = [](Outcome outcome) {
-    Rig rig;
-    rig.usualGroup();
-    rig.usualRecord();
+    KnownRig rig;
     sentToCold(rig, Outcome::Ok, 400, 100 * kMs);
     RequestId read = 0;
     do read = rig.ask(kAny);
@@ -793,9 +733,7 @@
 }
 
 TEST(Health, AMemberThatCannotBeReachedIsLeftAndComesBackByTrial) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   RequestId read = 0;
   do read = rig.ask(kAny);
   while (rig.sentTo(read).at(0) != 2);
@@ -847,9 +785,7 @@
 }
 
 TEST(Health, APrimaryBehindASlowPathIsStillThePrimary) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   int served = 0;
   for (int i = 0; i < 20; ++i) {
     rig.pass(2 * kS);
@@ -882,9 +818,7 @@
 }
 
 TEST(Load, WhatAClientThatLeftLeavesBehindIsCancelledAndCountsAsNotServed) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   int sent = 0;
   for (int i = 0; i < 40; ++i) {
     rig.pass(kS);
@@ -905,18 +839,14 @@
 TEST(Load, WhereCancellingIsNotAllowedNothingIsCancelled) {
   Settings settings = makeSettings();
   settings.mayCancel = false;
-  Rig rig(settings);
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig(settings);
   const auto read = rig.ask(kAny);
   rig.feed(ClientLeft{read});
   EXPECT_TRUE(rig.all<Cancel>().empty());
 }
 
 TEST(Load, AJammedGroupTurnsMostRequestsAwayAtOnceUntilItServesAgain) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   const auto play = [&rig](bool jammed) {
     int sent = 0;
     for (int i = 0; i < 40; ++i) {
@@ -940,9 +870,7 @@
 }
 
 TEST(Health, ASlowMemberGetsLessThanItsPeers) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   std::map<MemberId, int> sent;
   for (int i = 0; i < 300; ++i) {
     rig.now += 10 * kMs;
@@ -956,9 +884,7 @@
 }
 
 TEST(Health, AMemberThatFailsFastDoesNotDrawTrafficByLookingFast) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   std::map<MemberId, int> sent;
   for (int i = 0; i < 300; ++i) {
     rig.now += 10 * kMs;
@@ -976,9 +902,7 @@
 }
 
 TEST(Health, WhenAllAreSlowNobodyIsEjected) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   for (int i = 0; i < 12; ++i) {
     const auto read = rig.ask(kAny, 300 * kMs);
     rig.now += 300 * kMs;
@@ -990,9 +914,7 @@
 }
 
 TEST(Load, OverTheLimitRequestsAreHeldAndGoWhenOneEnds) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   std::vector<RequestId> reads;
   for (int i = 0; i < 40; ++i) reads.push_back(rig.ask(kAny));
   const auto sent = rig.all<Attempt>().size();
@@ -1006,9 +928,7 @@
   const auto sentAtOnce = [](unsigned drivers) {
     Settings settings = makeSettings();
     settings.drivers = drivers;
-    Rig rig(settings);
-    rig.usualGroup();
-    rig.usualRecord();
+    KnownRig rig(settings);
     for (int i = 0; i < 60; ++i) rig.ask(kFresh);
     return rig.all<Attempt>().size();
   };
@@ -1018,9 +938,7 @@
 
 TEST(Load, LateAnswersShrinkTheLimit) {
   const auto heldAfter = [](Micros elapsed) {
-    Rig rig;
-    rig.usualGroup();
-    rig.usualRecord();
+    KnownRig rig;
     for (int i = 0; i < 60; ++i) {
       rig.now += kMs;
       const auto read = rig.ask(kAny);
@@ -1034,9 +952,7 @@
 }
 
 TEST(Load, AJamDoesNotMakeTheRouterRefuseAllThatComes) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   // Answers that came far too late have been the rule.
   for (int i = 0; i < 60; ++i) {
     const auto read = rig.ask(kFresh);
@@ -1047,9 +963,7 @@
 }
 
 TEST(Load, ALimitBelowOneSpacesRequestsOut) {
-  Rig rig;
-  rig.usualGroup();
-  rig.usualRecord();
+  KnownRig rig;
   int sent = 0;
   for (int i = 0; i < 200; ++i) {
     rig.now += 10 * kMs;
@@ -1065,9 +979,7 @@
 
 TEST(Load, AMarkedRepeatGetsOnlyRoomThatIsFree) {
   const auto answerTo = [](bool repeat, int before) {
-    Rig rig;
-    rig.usualGroup();
-    rig.usualRecord();
+    KnownRig rig;
     for (int i = 0; i < before; ++i) rig.ask(kFresh);
     Request r;
     r.id = ++rig.lastId;
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -183,4 +183,14 @@
   std::size_t seen = 0;
 };
 
+// One whose usual group, its roles and its positions are known.
+class KnownRig : public Rig {
+ public:
+  explicit KnownRig(Settings settings = makeSettings(), std::uint64_t seed = 7)
+      : Rig(std::move(settings), seed) {
+    usualGroup();
+    usualRecord();
+  }
+};
+
 }  // namespace heathflow::test
