--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -118,7 +118,7 @@
   void strike(Peer& peer);
   void heard(Peer& peer);
   Peer* primaryOf(const Group& group, bool forWrite);
-  void probe(Peer& peer);
+  bool probe(Peer& peer);
   void seek(Group& group);
   void probeStale(Group& group);
 
@@ -361,11 +361,13 @@
   return listed;
 }
 
-void Logic::Impl::probe(Peer& peer) {
-  if (!settings_.mayProbe || peer.probing || !peer.ready) return;
+// Whether one was sent.
+bool Logic::Impl::probe(Peer& peer) {
+  if (!settings_.mayProbe || peer.probing || !peer.ready) return false;
   peer.probing = true;
   peer.probedAt = now_;
   act(Probe{peer.info.id});
+  return true;
 }
 
 // Asks every member of a group who leads: a fresh router once, and while the group has no primary.
@@ -388,8 +390,7 @@
     const Micros rest = std::max(gap, part(kProbeGapShare, peer.lag));
     if (now_ - peer.probedAt < rest || blocked(peer)) continue;
     if (!peer.doubted && (ledLast(peer, group) || now_ - peer.position <= due)) continue;
-    if (!peer.probing && peer.ready) probeCredit_ -= 1;
-    probe(peer);
+    if (probe(peer)) probeCredit_ -= 1;
   }
 }
 
@@ -754,10 +755,7 @@
   if (settings_.guard != Guard::Silent && advanced != nullptr && advanced->position != kNever)
     return advanced;
   // A probe of one may bring what is missing, and a short wait for it spares the primary a read.
-  if (hopeful != nullptr && !probing) {
-    probe(*hopeful);
-    probing = true;
-  }
+  if (hopeful != nullptr && !probing) probing = probe(*hopeful);
   // Meanwhile an idle primary takes it, while primaries have less than their even part of this router's work.
   const bool spare = ledWork_ * static_cast<double>(group.members.size()) < allWork_;
   if (probing && waited < kProbeWaitShare) crowd = spare ? 0 : kLimitMost;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -53,6 +53,15 @@
   EXPECT_EQ(rig.sentTo(read), Members{1});
 }
 
+TEST(Routing, WhereNoProbeIsAllowedNoReadWaitsForOne) {
+  Settings settings = makeSettings();
+  settings.mayProbe = false;
+  Rig rig(settings);
+  rig.usualGroup();
+  EXPECT_EQ(rig.sentTo(rig.ask(kBounded)), Members{1});
+  EXPECT_EQ(rig.probes(), 0U);
+}
+
 TEST(Routing, ReadsOfAFreshRouterWaitForItsFirstProbes) {
   Rig rig;
   rig.usualGroup();
