--- /dev/null
+++ b/src/program/config.h
@@ -0,0 +1,28 @@
+// What the process is started with: the environment and the file that it names.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "protocol/member_list.h"
+#include "settings/settings.h"
+#include "transport/socket.h"
+
+namespace heathflow::program {
+
+struct Config {
+  std::string name;
+  transport::Endpoint listen;
+  transport::Endpoint discovery;
+  std::uint64_t seed = 0;
+  std::size_t sockets = 0;
+  protocol::MemberList known;
+  settings::InstanceSettings settings;
+};
+
+// Reads NODE_CONFIG and the variables beside it. False, with one plain line that names the key, on bad input.
+bool loadConfig(Config& out, std::string& problem);
+// The same from the text of the file.
+bool parseConfig(const std::string& text, Config& out, std::string& problem);
+
+}  // namespace heathflow::program
--- /dev/null
+++ b/src/program/gateway.cpp
@@ -0,0 +1,58 @@
+#include "program/gateway.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace heathflow::program {
+namespace {
+
+using transport::Micros;
+
+// PROTOCOL, Discovery: a watch waits at most 60 s. DEPLOY's 'told' limits run from its end, so that a shorter
+// one, well inside the time within which a router must ask, shows sooner that nothing comes through.
+constexpr Micros kWatchLeast = 1'000'000;
+constexpr Micros kWatchMost = 60'000'000;
+constexpr Micros kWatchesPerAskWithin = 4;
+// Without a limit in the settings an idle connection is kept as long as the kernel keeps a dead one.
+constexpr Micros kIdleForever = 7'200'000'000;
+
+Micros watchFor(const Settings& settings) {
+  return std::clamp(settings.askWithin / kWatchesPerAskWithin, kWatchLeast, kWatchMost);
+}
+
+Micros idleLimit(const settings::InstanceSettings& settings) {
+  return settings.idleTime > 0 ? settings.idleTime : kIdleForever;
+}
+
+}  // namespace
+
+Gateway::Gateway(transport::EventLoop& loop, const Config& config, routing::Observer& observer)
+    : config_(config),
+      budget_(config.sockets, observer.counters),
+      pool_(loop, {config.settings.logic.connectTimeout, idleLimit(config.settings)}, budget_, observer),
+      router_(loop, config.settings, config.seed, pool_, observer),
+      directory_(pool_, observer),
+      watch_(
+          loop, config.discovery, watchFor(config.settings.logic), observer,
+          [this](const protocol::MemberList& list) { router_.membersChanged(directory_.take(list)); },
+          [this] {
+            router_.membersChanged({MembersChanged::Scope::Failed, {}});
+          }),
+      listener_(loop, router_, pool_, budget_, observer) {
+  router_.onSubscribe([this] { watch_.subscribe(); });
+}
+
+bool Gateway::start(std::string& problem) {
+  // The list as it was last known comes first, as old as it may be.
+  protocol::MemberList known = config_.known;
+  known.complete = true;
+  watch_.startFrom(known.revision);
+  router_.membersChanged(directory_.take(known));
+  router_.start();
+  const int error = listener_.listen(config_.listen);
+  if (error == 0) return true;
+  problem = "the key 'listen' holds an address that can't be had: " + std::string(std::strerror(error));
+  return false;
+}
+
+}  // namespace heathflow::program
--- /dev/null
+++ b/src/program/gateway.h
@@ -0,0 +1,34 @@
+// All parts of one gateway, put together.
+#pragma once
+
+#include <functional>
+
+#include "program/config.h"
+#include "routing/client_listener.h"
+#include "routing/directory.h"
+#include "routing/discovery_watch.h"
+#include "routing/member_pool.h"
+#include "routing/router.h"
+
+namespace heathflow::program {
+
+class Gateway {
+ public:
+  Gateway(transport::EventLoop& loop, const Config& config, routing::Observer& observer);
+
+  // Takes clients from here on; false, and why, when the address can't be had.
+  bool start(std::string& problem);
+  // Lets all clients go between their requests, then calls back.
+  void drain(std::function<void()> done) { listener_.drain(std::move(done)); }
+
+ private:
+  const Config& config_;
+  routing::DescriptorBudget budget_;
+  routing::MemberPool pool_;
+  routing::Router router_;
+  routing::Directory directory_;
+  routing::DiscoveryWatch watch_;
+  routing::ClientListener listener_;
+};
+
+}  // namespace heathflow::program
--- /dev/null
+++ b/src/program/signals.cpp
@@ -0,0 +1,32 @@
+#include "program/signals.h"
+
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <csignal>
+#include <system_error>
+
+namespace heathflow::program {
+
+Signals::Signals(transport::EventLoop& loop, Handler handler) : loop_(loop), handler_(std::move(handler)) {
+  std::signal(SIGPIPE, SIG_IGN);
+  sigset_t wanted;
+  sigemptyset(&wanted);
+  for (const int signal : {SIGTERM, SIGINT, SIGUSR1}) sigaddset(&wanted, signal);
+  sigprocmask(SIG_BLOCK, &wanted, nullptr);
+  fd_ = transport::UniqueFd(::signalfd(-1, &wanted, SFD_NONBLOCK | SFD_CLOEXEC));
+  if (!fd_ || !loop_.watch(fd_.get(), *this))
+    throw std::system_error(errno, std::generic_category(), "signals");
+}
+
+Signals::~Signals() { loop_.unwatch(fd_.get(), *this); }
+
+void Signals::onReady(std::uint32_t) {
+  signalfd_siginfo info{};
+  while (::read(fd_.get(), &info, sizeof info) == static_cast<ssize_t>(sizeof info)) {
+    handler_(static_cast<int>(info.ssi_signo));
+  }
+}
+
+}  // namespace heathflow::program
--- /dev/null
+++ b/src/program/signals.h
@@ -0,0 +1,25 @@
+// Signals as events of the loop.
+#pragma once
+
+#include <functional>
+
+#include "transport/event_loop.h"
+
+namespace heathflow::program {
+
+class Signals final : private transport::IoHandler {
+ public:
+  using Handler = std::function<void(int signal)>;
+  // From here on SIGTERM, SIGINT and SIGUSR1 come as calls, and SIGPIPE not at all.
+  Signals(transport::EventLoop& loop, Handler handler);
+  ~Signals() override;
+
+ private:
+  void onReady(std::uint32_t events) override;
+
+  transport::EventLoop& loop_;
+  Handler handler_;
+  transport::UniqueFd fd_;
+};
+
+}  // namespace heathflow::program
--- /dev/null
+++ b/src/protocol/member_list.cpp
@@ -0,0 +1,115 @@
+#include "protocol/member_list.h"
+
+#include <cmath>
+#include <limits>
+#include <nlohmann/json.hpp>
+
+namespace heathflow::protocol {
+namespace {
+
+using Json = nlohmann::json;
+
+class Reader {
+ public:
+  explicit Reader(std::string& problem) : problem_(problem) {}
+
+  const Json* field(const Json& object, const char* key, bool needed) {
+    const auto found = object.find(key);
+    if (found != object.end() && !found->is_null()) return &*found;
+    if (needed) fail(key, "is missing");
+    return nullptr;
+  }
+  void text(const Json& object, const char* key, std::string& out, bool needed) {
+    const Json* value = field(object, key, needed);
+    if (value == nullptr) return;
+    if (!value->is_string()) return fail(key, "is no text");
+    out = value->get_ref<const std::string&>();
+  }
+  void whole(const Json& object, const char* key, std::int64_t& out, bool needed) {
+    const Json* value = field(object, key, needed);
+    if (value == nullptr) return;
+    if (value->is_number_integer()) {
+      out = value->get<std::int64_t>();
+    } else if (value->is_number_float() && std::abs(value->get<double>()) < 9e15) {
+      out = static_cast<std::int64_t>(value->get<double>());
+    } else {
+      fail(key, "is no whole number");
+    }
+  }
+  void fail(const char* key, const char* what) {
+    if (problem_.empty()) problem_ = std::string("'") + key + "' " + what;
+  }
+  bool good() const { return problem_.empty(); }
+
+ private:
+  std::string& problem_;
+};
+
+ListedMember readMember(Reader& reader, const Json& entry) {
+  ListedMember out;
+  if (!entry.is_object()) {
+    reader.fail("members", "holds what is no object");
+    return out;
+  }
+  reader.text(entry, "id", out.id, true);
+  std::string phase;
+  reader.text(entry, "phase", phase, true);
+  if (phase == "Terminating") {
+    out.phase = ListedMember::Phase::Terminating;
+  } else if (phase == "Gone") {
+    out.phase = ListedMember::Phase::Gone;
+  } else if (phase != "Ready") {
+    reader.fail("phase", "is not known");
+  }
+  // One that is gone needs no more than its name.
+  const bool needed = out.phase != ListedMember::Phase::Gone;
+  reader.text(entry, "host_port", out.hostPort, needed);
+  reader.text(entry, "locality", out.locality, false);
+  std::int64_t cell = 0;
+  reader.whole(entry, "cell", cell, needed);
+  if (cell < 0 || cell > std::numeric_limits<std::uint32_t>::max()) reader.fail("cell", "is out of range");
+  out.cell = static_cast<std::uint32_t>(cell);
+  reader.whole(entry, "up_since_ms", out.upSinceMs, false);
+  // Beyond this the time can't be told in microseconds.
+  if (out.upSinceMs < 0 || out.upSinceMs > 4'000'000'000'000'000)
+    reader.fail("up_since_ms", "is out of range");
+  std::string mode;
+  reader.text(entry, "mode", mode, false);
+  out.primary = mode == "read-write";
+  if (const Json* size = reader.field(entry, "size", false)) {
+    if (!size->is_number()) reader.fail("size", "is no number");
+    if (size->is_number()) out.size = size->get<double>();
+  }
+  return out;
+}
+
+}  // namespace
+
+std::optional<MemberList> parseMemberList(std::string_view json, std::string& problem) {
+  problem.clear();
+  try {
+    const Json document = Json::parse(json, nullptr, false);
+    if (!document.is_object()) {
+      problem = "the document is no JSON object";
+      return std::nullopt;
+    }
+    Reader reader(problem);
+    MemberList out;
+    reader.whole(document, "revision", out.revision, true);
+    const Json* complete = reader.field(document, "complete", true);
+    if (complete != nullptr && !complete->is_boolean()) reader.fail("complete", "is neither true nor false");
+    if (complete != nullptr && complete->is_boolean()) out.complete = complete->get<bool>();
+    const Json* members = reader.field(document, "members", true);
+    if (members != nullptr && !members->is_array()) reader.fail("members", "is no array");
+    if (!reader.good()) return std::nullopt;
+    out.members.reserve(members->size());
+    for (const Json& entry : *members) out.members.push_back(readMember(reader, entry));
+    if (!reader.good()) return std::nullopt;
+    return out;
+  } catch (const std::exception& error) {
+    problem = error.what();
+    return std::nullopt;
+  }
+}
+
+}  // namespace heathflow::protocol
--- /dev/null
+++ b/src/protocol/member_list.h
@@ -0,0 +1,33 @@
+// Discovery's documents: the list of members, whole or as changes.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace heathflow::protocol {
+
+struct ListedMember {
+  enum class Phase { Ready, Terminating, Gone };
+  std::string id;
+  std::string hostPort;
+  std::string locality;
+  std::uint32_t cell = 0;
+  Phase phase = Phase::Ready;
+  double size = 1;
+  std::int64_t upSinceMs = 0;
+  bool primary = false;
+};
+
+struct MemberList {
+  std::int64_t revision = 0;
+  bool complete = false;
+  std::vector<ListedMember> members;
+};
+
+// Nothing, and why in 'problem', where the document can't be read as a whole.
+std::optional<MemberList> parseMemberList(std::string_view json, std::string& problem);
+
+}  // namespace heathflow::protocol
--- /dev/null
+++ b/src/protocol/pg_client.h
@@ -0,0 +1,75 @@
+// The client side of the protocol, towards members: a state machine that is fed bytes.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+#include "protocol/pg_message.h"
+
+namespace heathflow::protocol {
+
+// A value holds at most 64 KiB (PROTOCOL); the rest is what stands around it.
+inline constexpr std::size_t kMemberMessageLimit = 80 * 1024;
+inline constexpr std::size_t kMemberAnswerLimit = 96 * 1024;
+
+// What came back for one query. Slices lie in the bytes that were fed.
+struct Answer {
+  enum class Kind { None, Row, Empty, Error } kind = Kind::None;
+  Slice rowDescription;
+  Slice dataRow;
+  Slice commandComplete;
+  Slice value;  // of the row
+  Slice code;   // of the error
+  bool fatal = false;
+  std::optional<bool> primary;             // the member's role, where it told it
+  std::optional<std::int64_t> positionMs;  // as it was told: Unix milliseconds
+  Slice report;                            // the load report, empty when there was none
+};
+
+class PgClient {
+ public:
+  enum class Event {
+    NeedMore,
+    Ready,     // the connection is up
+    Rejected,  // the connection was turned down; the answer holds the error
+    Answered,  // the answer is whole
+    Broken,    // the member does not keep to the protocol
+  };
+
+  // Writes the startup message. False when the buffer has no room.
+  bool start(Buffer& out);
+  // A query has been written.
+  void queried();
+
+  // Looks at all that has come in and was not yet consumed. After Ready and Answered the caller takes what it
+  // needs and drops the seen bytes.
+  Event feed(std::string_view bytes);
+  std::size_t seen() const { return seen_; }
+  const Answer& answer() const { return answer_; }
+  // The connection has ended: whether the answer was whole by then.
+  bool wholeAtEnd() const { return phase_ == Phase::Busy && settled_; }
+  bool answering() const { return answering_; }
+  bool usable() const { return phase_ == Phase::Idle; }
+  // The seen bytes have been dropped.
+  void dropped() { seen_ = 0; }
+
+ private:
+  enum class Phase { Starting, Idle, Busy, Dead };
+  Event take(const Cut& cut, std::string_view bytes);
+  Event broken() {
+    phase_ = Phase::Dead;
+    return Event::Broken;
+  }
+  bool readRow(const Cut& cut);
+  void readParameter(std::string_view body, std::string_view bytes);
+
+  Phase phase_ = Phase::Starting;
+  std::size_t seen_ = 0;
+  bool answering_ = false;  // something of an answer has come
+  bool settled_ = false;    // what it is can no longer change
+  Answer answer_;
+};
+
+}  // namespace heathflow::protocol
--- /dev/null
+++ b/src/protocol/pg_server.cpp
@@ -0,0 +1,140 @@
+#include "protocol/pg_server.h"
+
+namespace heathflow::protocol {
+namespace {
+
+constexpr std::uint32_t kSslRequest = 80877103;
+constexpr std::uint32_t kGssRequest = 80877104;
+constexpr std::uint32_t kCancelRequest = 80877102;
+constexpr std::uint32_t kMajorVersion = 3;
+constexpr std::size_t kStartupHeader = 8;
+
+using Step = PgServer::Step;
+
+bool blank(std::string_view statement) {
+  return statement.find_first_not_of(" \t\r\n;") == std::string_view::npos;
+}
+
+void writeParameter(Buffer& out, std::string_view name, std::string_view value) {
+  std::string body(name);
+  body += '\0';
+  body += value;
+  body += '\0';
+  writeMessage(out, 'S', body);
+}
+
+}  // namespace
+
+Step PgServer::fatal(Buffer& out, std::string_view code, std::string_view message) {
+  writeError(out, true, code, message);
+  Step step;
+  step.kind = Step::Kind::Fatal;
+  step.violation = true;
+  return step;
+}
+
+Step PgServer::startup(std::string_view bytes, Buffer& out) {
+  if (bytes.size() < kLengthSize) return {};
+  const std::size_t length = readU32(bytes, 0);
+  if (length < kStartupHeader || length > kStartupLimit) {
+    return fatal(out, sqlstate::kProtocolViolation, "the length of the startup packet is out of range");
+  }
+  if (bytes.size() < length) return {};
+  Step step;
+  step.kind = Step::Kind::Handled;
+  step.consumed = length;
+  const std::uint32_t code = readU32(bytes, kLengthSize);
+  if (code == kSslRequest || code == kGssRequest) {
+    out.append("N");
+    return step;
+  }
+  if (code == kCancelRequest) {
+    step.kind = Step::Kind::Left;
+    return step;
+  }
+  if (code >> 16 != kMajorVersion) {
+    return fatal(out, sqlstate::kFeatureNotSupported, "this protocol version is not supported");
+  }
+  if ((code & 0xFFFF) != 0) {
+    // A newer minor version: told that 3.0 is spoken, and that none of its options were taken.
+    writeMessage(out, 'v', std::string_view("\0\3\0\0\0\0\0\0", 8));
+  }
+  started_ = true;
+  writeMessage(out, 'R', std::string_view("\0\0\0\0", 4));
+  writeParameter(out, "server_version", "15.0 (heathflow)");
+  writeParameter(out, "server_encoding", "UTF8");
+  writeParameter(out, "client_encoding", "UTF8");
+  writeParameter(out, "standard_conforming_strings", "on");
+  writeParameter(out, "integer_datetimes", "on");
+  writeMessage(out, 'K', std::string_view("\0\0\0\0\0\0\0\0", 8));
+  writeReady(out);
+  return step;
+}
+
+// Guards the connection of a client that speaks more of the protocol than is served here.
+Step PgServer::rejected(Buffer& out, std::size_t consumed) {
+  writeError(out, false, sqlstate::kFeatureNotSupported, "only simple queries are served");
+  Step step;
+  step.kind = Step::Kind::Handled;
+  step.consumed = consumed;
+  return step;
+}
+
+Step PgServer::step(std::string_view bytes, Buffer& out) {
+  if (!started_) return startup(bytes, out);
+  const Cut cut = cutMessage(bytes, kClientMessageLimit);
+  if (cut.kind == Cut::Kind::Partial) return {};
+  if (cut.kind == Cut::Kind::Malformed) {
+    return fatal(out, sqlstate::kProtocolViolation, "the length of a message is out of range");
+  }
+  Step step;
+  step.consumed = cut.size;
+  step.kind = Step::Kind::Handled;
+  if (cut.type == 'X') {
+    step.kind = Step::Kind::Left;
+    return step;
+  }
+  if (cut.type == 'S') {
+    skipping_ = false;
+    writeReady(out);
+    return step;
+  }
+  if (skipping_) return step;
+  switch (cut.type) {
+    case 'Q': {
+      if (cut.body.empty() || cut.body.find('\0') != cut.body.size() - 1) {
+        return fatal(out, sqlstate::kProtocolViolation, "a query does not end where its message does");
+      }
+      const std::string_view statement = cut.body.substr(0, cut.body.size() - 1);
+      if (blank(statement)) {
+        writeMessage(out, 'I', {});
+        writeReady(out);
+        return step;
+      }
+      step.kind = Step::Kind::Query;
+      step.statement = {kHeaderSize, statement.size()};
+      return step;
+    }
+    case 'P':
+    case 'B':
+    case 'C':
+    case 'D':
+    case 'E':
+      skipping_ = true;
+      return rejected(out, cut.size);
+    case 'F': {
+      Step reply = rejected(out, cut.size);
+      writeReady(out);
+      return reply;
+    }
+    case 'H':  // Flush: nothing is held back
+    case 'd':  // what is left of a copy that was never begun
+    case 'c':
+    case 'f':
+      return step;
+    default:
+      return fatal(out, sqlstate::kProtocolViolation, "a message of an unknown type");
+  }
+}
+
+}  // namespace heathflow::protocol
--- /dev/null
+++ b/src/protocol/request_comment.h
@@ -0,0 +1,27 @@
+// What a client says of a request in the comment of its statement.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+#include "protocol/pg_message.h"
+
+namespace heathflow::protocol {
+
+struct RequestComment {
+  std::string_view id;
+  std::string_view className;
+  std::optional<std::uint32_t> group;
+  std::optional<std::int64_t> patienceMs;  // for how long the client waits
+  Slice patience;                          // where that stands in the statement
+  std::optional<std::int64_t> afterMs;     // the session's last write, Unix milliseconds
+  bool repeat = false;
+  std::string_view key;  // the first quoted text of the statement
+};
+
+// Nothing where there is no comment, or it can't be read: unbalanced quotes, a name twice, a value that is no
+// number where one belongs. Names that are not known are skipped.
+std::optional<RequestComment> parseRequestComment(std::string_view statement);
+
+}  // namespace heathflow::protocol
--- /dev/null
+++ b/src/routing/client_listener.cpp
@@ -0,0 +1,150 @@
+#include "routing/client_listener.h"
+
+#include <cerrno>
+#include <string>
+#include <vector>
+
+namespace heathflow::routing {
+namespace {
+
+constexpr int kBacklog = 1024;
+constexpr int kAcceptsPerTurn = 64;
+// Guards against spinning while the system has no descriptor or memory to give.
+constexpr Micros kRetryAccept = 50'000;
+// PROTOCOL, Figures: after SIGTERM new connections keep coming for 0.2 to 0.4 s.
+constexpr Micros kStillComing = 450'000;
+// And what comes more than 0.7 s after it must not be left to the kill.
+constexpr Micros kLastCall = 600'000;
+
+}  // namespace
+
+ClientListener::ClientListener(transport::EventLoop& loop, Router& router, MemberPool& pool,
+                               DescriptorBudget& budget, Observer& observer)
+    : loop_(loop),
+      router_(router),
+      pool_(pool),
+      budget_(budget),
+      observer_(observer),
+      classNames_(router.settings().classNames),
+      retry_(loop, [this] { acceptAll(); }),
+      closing_(loop, [this] { stopListening(); }),
+      lastCall_(loop, [this] { checkDrained(); }) {
+  for (std::size_t i = 0; i < classNames_.size(); ++i) {
+    classes_.emplace(classNames_[i], static_cast<std::uint32_t>(i));
+  }
+}
+
+ClientListener::~ClientListener() {
+  if (listener_) loop_.unwatch(listener_.get(), *this);
+}
+
+int ClientListener::listen(const transport::Endpoint& endpoint) {
+  transport::Opened opened = transport::listenOn(endpoint, kBacklog);
+  if (!opened.fd) return opened.error;
+  listener_ = std::move(opened.fd);
+  return loop_.watch(listener_.get(), *this) ? 0 : errno;
+}
+
+std::optional<transport::Endpoint> ClientListener::boundTo() const {
+  return transport::boundTo(listener_.get());
+}
+
+void ClientListener::onReady(std::uint32_t) { acceptAll(); }
+
+void ClientListener::acceptAll() {
+  for (int i = 0; i < kAcceptsPerTurn && listener_; ++i) {
+    transport::Opened opened = transport::acceptFrom(listener_.get());
+    if (opened.fd) {
+      admit(std::move(opened.fd));
+      continue;
+    }
+    if (opened.error == EAGAIN || opened.error == EWOULDBLOCK) return;
+    observer_.note(Topic::Limits,
+                   "a client can't be taken in at present: error " + std::to_string(opened.error));
+    // An idle connection to a member goes before a client does.
+    if ((opened.error == EMFILE || opened.error == ENFILE) && pool_.spareOne()) continue;
+    return retry_.arm(loop_.now() + kRetryAccept);
+  }
+  if (listener_) loop_.again(*this);
+}
+
+// Room for one more client: one that stands between requests gives way, the oldest first.
+bool ClientListener::makeRoom() {
+  if (budget_.clientFits()) return true;
+  for (auto at = sessions_.begin(); at != sessions_.end(); ++at) {
+    if ((*at)->hasAsked() && (*at)->closeIfIdle()) return true;
+  }
+  return false;
+}
+
+void ClientListener::admit(transport::UniqueFd fd) {
+  const bool fits = makeRoom();
+  if (!fits) {
+    ++observer_.counters.clientsTurnedAway;
+    observer_.note(Topic::Limits, "a client is turned away: no descriptor is left for it");
+    if (!budget_.clientMayBeToldOff()) return;
+  }
+  auto session = std::make_unique<ClientSession>(loop_, static_cast<ClientSessionOwner&>(*this), router_, classes_, observer_);
+  if (!session->adopt(std::move(fd))) return;
+  if (!fits) session->turnAway();
+  if (draining_) session->leave(false);
+  ++observer_.counters.clientsAccepted;
+  budget_.clientOpened();
+  ClientSession* key = session.get();
+  sessions_.push_back(std::move(session));
+  index_.emplace(key, std::prev(sessions_.end()));
+}
+
+void ClientListener::onSessionOver(ClientSession& session) {
+  const auto found = index_.find(&session);
+  if (found == index_.end()) return;
+  budget_.clientClosed();
+  loop_.retire(std::move(*found->second));
+  sessions_.erase(found->second);
+  index_.erase(found);
+  checkDrained();
+}
+
+void ClientListener::drain(std::function<void()> done) {
+  if (draining_) return;
+  draining_ = true;
+  drained_ = std::move(done);
+  std::vector<ClientSession*> all;
+  for (const auto& session : sessions_) all.push_back(session.get());
+  for (ClientSession* session : all) session->leave(false);
+  closing_.arm(loop_.now() + kStillComing);
+  lastCall_.arm(loop_.now() + kLastCall);
+  checkDrained();
+}
+
+void ClientListener::stopListening() {
+  // What stands in the queue has been taken in: it is served before the door shuts.
+  acceptAll();
+  if (!listener_) return;
+  loop_.unwatch(listener_.get(), *this);
+  listener_.reset();
+  retry_.disarm();
+  checkDrained();
+}
+
+void ClientListener::checkDrained() {
+  if (!draining_ || listener_) return;
+  if (!lastCall_.armed()) {
+    // Who has not asked by now is let go as well.
+    std::vector<ClientSession*> silent;
+    for (const auto& session : sessions_) {
+      if (!session->hasAsked()) silent.push_back(session.get());
+    }
+    auto done = std::move(drained_);
+    drained_ = nullptr;
+    for (ClientSession* session : silent) session->leave(true);
+    drained_ = std::move(done);
+  }
+  if (sessions_.empty() && drained_) {
+    auto done = std::move(drained_);
+    drained_ = nullptr;
+    done();
+  }
+}
+
+}  // namespace heathflow::routing
--- /dev/null
+++ b/src/routing/client_listener.h
@@ -0,0 +1,56 @@
+// Takes in clients, within the descriptors there are, and lets them go when the process ends.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <unordered_map>
+
+#include "routing/client_session.h"
+#include "routing/descriptor_budget.h"
+
+namespace heathflow::routing {
+
+class ClientListener final : private transport::IoHandler, private ClientSessionOwner {
+ public:
+  ClientListener(transport::EventLoop& loop, Router& router, MemberPool& pool, DescriptorBudget& budget,
+                 Observer& observer);
+  ~ClientListener() override;
+
+  // 0, or the error number that stood in the way.
+  int listen(const transport::Endpoint& endpoint);
+  std::optional<transport::Endpoint> boundTo() const;
+  // The process ends: clients are let go between requests, new ones are taken in for a while yet. Calls back
+  // when all have their answers and are gone.
+  void drain(std::function<void()> done);
+
+ private:
+  struct Held;
+  using Sessions = std::list<std::unique_ptr<ClientSession>>;
+
+  void onReady(std::uint32_t events) override;
+  void onSessionOver(ClientSession& session) override;
+  void acceptAll();
+  bool makeRoom();
+  void admit(transport::UniqueFd fd);
+  void stopListening();
+  void checkDrained();
+
+  transport::EventLoop& loop_;
+  Router& router_;
+  MemberPool& pool_;
+  DescriptorBudget& budget_;
+  Observer& observer_;
+  std::vector<std::string> classNames_;
+  ClientSession::ClassIndex classes_;
+  transport::UniqueFd listener_;
+  Sessions sessions_;
+  std::unordered_map<ClientSession*, Sessions::iterator> index_;
+  transport::Timer retry_;
+  transport::Timer closing_;
+  transport::Timer lastCall_;
+  std::function<void()> drained_;
+  bool draining_ = false;
+};
+
+}  // namespace heathflow::routing
--- /dev/null
+++ b/src/routing/client_session.h
@@ -0,0 +1,78 @@
+// One client's connection: takes its requests one at a time and writes their answers in order.
+#pragma once
+
+#include <string_view>
+#include <unordered_map>
+
+#include "protocol/pg_server.h"
+#include "routing/router.h"
+#include "transport/stream.h"
+
+namespace heathflow::routing {
+
+class ClientSession;
+
+class ClientSessionOwner {
+ public:
+  virtual ~ClientSessionOwner() = default;
+  virtual void onSessionOver(ClientSession& session) = 0;
+};
+
+class ClientSession final : public Requester, private transport::StreamOwner {
+ public:
+  // What all sessions share: the classes by name.
+  using ClassIndex = std::unordered_map<std::string_view, std::uint32_t>;
+
+  ClientSession(transport::EventLoop& loop, ClientSessionOwner& owner, Router& router,
+                const ClassIndex& classes, Observer& observer);
+  ~ClientSession() override;
+
+  bool adopt(transport::UniqueFd fd) { return stream_.adopt(std::move(fd)); }
+  // Every request is refused and the connection ends with the first: there are too many clients.
+  void turnAway() { turnedAway_ = leaving_ = true; }
+  // Ends as soon as it stands between requests. One that has not asked yet may do so first, unless told not
+  // to.
+  void leave(bool evenUnasked);
+  bool betweenRequests() const { return !busy_ && !ending_ && stream_.input().empty(); }
+  bool hasAsked() const { return asked_; }
+  // Closes it where it stands between requests with nothing unread; says whether it did.
+  bool closeIfIdle();
+
+  std::string_view statement() const override;
+  void served(const protocol::Answer& answer, std::string_view bytes) override;
+  void refused(Micros retryAfter) override;
+  void failed() override;
+
+ private:
+  void onInput() override;
+  void onDrained() override;
+  void onEnd(transport::StreamEnd how) override;
+  void process();
+  void ask();
+  void rejectRequest(std::string_view code, std::string_view message);
+  void answered();
+  void endAfterOutput();
+  void over();
+
+  transport::EventLoop& loop_;
+  ClientSessionOwner& owner_;
+  Router& router_;
+  const ClassIndex& classes_;
+  Observer& observer_;
+  transport::Stream stream_;
+  transport::Timer farewell_;
+  protocol::PgServer server_;
+  Micros readAt_ = 0;  // when the last bytes came
+  RequestId request_ = 0;
+  std::size_t requestSize_ = 0;  // what its message takes at the front of the input
+  protocol::Slice statement_;
+  bool busy_ = false;        // a request has no answer yet
+  bool processing_ = false;  // the input is being worked on further up the stack
+  bool asked_ = false;
+  bool leaving_ = false;
+  bool turnedAway_ = false;
+  bool ending_ = false;  // all has been said: what is written still goes out
+  bool over_ = false;
+};
+
+}  // namespace heathflow::routing
--- /dev/null
+++ b/src/routing/descriptor_budget.h
@@ -0,0 +1,44 @@
+// How many sockets may be open to clients and members, so that the rest of the process keeps its own.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+
+#include "routing/observer.h"
+
+namespace heathflow::routing {
+
+class DescriptorBudget {
+ public:
+  // Kept back: standard streams, epoll, signals, listener, discovery, and a little for what the system opens.
+  static constexpr std::size_t kReserved = 24;
+  // Clients beyond their part are still let in, up to so many, to be told so.
+  static constexpr std::size_t kTurnedAwayAtOnce = 16;
+
+  DescriptorBudget(std::size_t limit, Counters& counters)
+      : limit_(std::max(limit, 2 * (kReserved + kTurnedAwayAtOnce)) - kReserved - kTurnedAwayAtOnce),
+        counters_(counters) {}
+
+  // Clients get half: each of their requests needs a connection to a member as well.
+  bool clientFits() const { return clients_ < limit_ / 2; }
+  bool clientMayBeToldOff() const { return clients_ < limit_ / 2 + kTurnedAwayAtOnce; }
+  bool memberFits() const { return std::min(clients_, limit_ / 2) + members_ < limit_; }
+
+  void clientOpened() { changed(++clients_ + members_); }
+  void clientClosed() { changed(--clients_ + members_); }
+  void memberOpened() { changed(clients_ + ++members_); }
+  void memberClosed() { changed(clients_ + --members_); }
+
+ private:
+  void changed(std::size_t now) {
+    counters_.descriptors = now;
+    counters_.descriptorsPeak = std::max<std::uint64_t>(counters_.descriptorsPeak, now);
+  }
+
+  std::size_t limit_;
+  std::size_t clients_ = 0;
+  std::size_t members_ = 0;
+  Counters& counters_;
+};
+
+}  // namespace heathflow::routing
--- /dev/null
+++ b/src/routing/directory.cpp
@@ -0,0 +1,76 @@
+#include "routing/directory.h"
+
+#include <string_view>
+
+#include "routing/hash.h"
+
+namespace heathflow::routing {
+namespace {
+
+constexpr Micros kMicrosPerMilli = 1000;
+// Beyond so many names those that are gone are forgotten, so that memory does not grow with all ever seen.
+constexpr std::size_t kNamesKept = 4096;
+
+}  // namespace
+
+// The same name makes the same id at every router, for the module sorts by it.
+Directory::Known& Directory::known(const std::string& name) {
+  const auto [entry, isNew] = byName_.try_emplace(name);
+  if (isNew) {
+    MemberId id = hashOf(name);
+    while (names_.contains(id)) ++id;
+    entry->second.id = id;
+    names_.emplace(id, name);
+  }
+  return entry->second;
+}
+
+void Directory::forgetGone() {
+  if (byName_.size() <= kNamesKept) return;
+  std::erase_if(byName_, [this](const auto& entry) {
+    if (!entry.second.gone) return false;
+    names_.erase(entry.second.id);
+    pool_.forget(entry.second.id);
+    return true;
+  });
+}
+
+MembersChanged Directory::take(const protocol::MemberList& list) {
+  using Phase = protocol::ListedMember::Phase;
+  ++observer_.counters.listsTaken;
+  MembersChanged event;
+  event.scope = list.complete ? MembersChanged::Scope::Full : MembersChanged::Scope::Delta;
+  if (list.complete) {
+    for (auto& [name, entry] : byName_) entry.gone = true;
+  }
+  for (const protocol::ListedMember& listed : list.members) {
+    const bool gone = listed.phase == Phase::Gone;
+    if (gone && !byName_.contains(listed.id)) continue;
+    Known& entry = known(listed.id);
+    entry.gone = gone;
+    if (!gone) {
+      const auto endpoint = transport::parseEndpoint(listed.hostPort);
+      if (!endpoint) {
+        observer_.note(Topic::Discovery, "a member's address can't be read: " + listed.hostPort);
+        continue;
+      }
+      pool_.place(entry.id, *endpoint);
+    }
+    Member member;
+    member.id = entry.id;
+    member.group = listed.cell;
+    member.state = gone                           ? MemberState::Gone
+                   : listed.phase == Phase::Ready ? MemberState::Ready
+                                                  : MemberState::Draining;
+    member.zone =
+        zones_.try_emplace(listed.locality, static_cast<std::uint32_t>(zones_.size())).first->second;
+    member.launched = listed.upSinceMs * kMicrosPerMilli;
+    member.size = listed.size;
+    member.leads = listed.primary;
+    event.members.push_back(member);
+  }
+  forgetGone();
+  return event;
+}
+
+}  // namespace heathflow::routing
--- /dev/null
+++ b/src/routing/discovery_watch.cpp
@@ -0,0 +1,128 @@
+#include "routing/discovery_watch.h"
+
+namespace heathflow::routing {
+namespace {
+
+constexpr Micros kMicrosPerMilli = 1000;
+constexpr std::size_t kBodyLimit = 8 * 1024 * 1024;
+constexpr transport::Stream::Limits kLimits = {64 * 1024, 4 * 1024};
+// PROTOCOL, Figures: for a call that may wait, what it has to tell counts as told 2 s after that wait.
+constexpr Micros kBeyondWait = 1'900'000;
+// PROTOCOL, Discovery: a watch lasts as long as the next call comes within 200 ms. Guards against a tight
+// loop with a service that answers at once though nothing is new.
+constexpr Micros kSoonest = 50'000;
+// The first call asks for what is new and waits for nothing.
+constexpr Micros kNoWait = kMicrosPerMilli;
+
+}  // namespace
+
+DiscoveryWatch::DiscoveryWatch(transport::EventLoop& loop, const transport::Endpoint& endpoint,
+                               Micros watchFor, Observer& observer, OnList onList, OnFailure onFailure)
+    : loop_(loop),
+      endpoint_(endpoint),
+      watchFor_(watchFor),
+      observer_(observer),
+      onList_(std::move(onList)),
+      onFailure_(std::move(onFailure)),
+      limit_(loop, [this] { failed("no answer in time"); }),
+      next_(loop, [this] { call(watchFor_); }) {}
+
+void DiscoveryWatch::subscribe() {
+  // A call that is out answers this wish as well, and a watch that stands is one already.
+  if (calling_ || next_.armed()) return;
+  call(kNoWait);
+}
+
+void DiscoveryWatch::call(Micros wait) {
+  calling_ = true;
+  calledAt_ = loop_.now();
+  std::string path = "/v1/endpoints";
+  if (revision_ >= 0) {
+    path += "?since=" + std::to_string(revision_) + "&timeout_ms=" + std::to_string(wait / kMicrosPerMilli);
+  }
+  request_ =
+      "GET " + path + " HTTP/1.1\r\nHost: " + toText(endpoint_) + "\r\nAccept: application/json\r\n\r\n";
+  ++observer_.counters.discoveryCalls;
+  limit_.arm(loop_.now() + wait + kBeyondWait);
+  reused_ = stream_ != nullptr && stream_->quiet();
+  if (reused_) return send();
+  open();
+}
+
+void DiscoveryWatch::open() {
+  if (stream_) loop_.retire(std::move(stream_));
+  stream_ = std::make_unique<transport::Stream>(loop_, static_cast<transport::StreamOwner&>(*this), kLimits);
+  int error = 0;
+  if (!stream_->connect(endpoint_, error)) failed("it can't be reached");
+}
+
+void DiscoveryWatch::onOpen() { send(); }
+
+void DiscoveryWatch::send() {
+  response_ = std::make_unique<protocol::HttpResponse>(kBodyLimit);
+  stream_->output().append(request_);
+  stream_->flush();
+}
+
+void DiscoveryWatch::onInput() {
+  if (!calling_ || !response_) {
+    // Nobody asked: what comes now would be taken for the next answer.
+    stream_->close();
+    return;
+  }
+  stream_->input().consume(response_->feed(stream_->input().view()));
+  stream_->resume();
+  if (response_->state() != protocol::HttpResponse::State::Reading) finished();
+}
+
+void DiscoveryWatch::onEnd(transport::StreamEnd) {
+  if (!calling_) return;
+  // A kept connection that closes as it is used says nothing of discovery: once more, on a new one.
+  if (reused_ && (!response_ || !response_->begun())) {
+    reused_ = false;
+    return open();
+  }
+  if (!response_) return failed("it can't be reached");
+  response_->ended();
+  finished();
+}
+
+void DiscoveryWatch::finished() {
+  if (response_->state() == protocol::HttpResponse::State::Malformed)
+    return failed("its response can't be read");
+  if (response_->status() != 200) return failed("status " + std::to_string(response_->status()));
+  std::string problem;
+  const auto list = protocol::parseMemberList(response_->body(), problem);
+  if (!list) return failed("its list can't be read: " + problem);
+  calling_ = false;
+  limit_.disarm();
+  if (!response_->keepAlive() || !stream_->input().empty()) stream_->close();
+  response_.reset();
+  revision_ = list->revision;
+  const bool empty = !list->complete && list->members.empty();
+  const bool early = empty && loop_.now() - calledAt_ < watchFor_ / 2;
+  onList_(*list);
+  if (calling_) return;
+  if (early) {
+    next_.arm(loop_.now() + kSoonest);
+  } else {
+    call(watchFor_);
+  }
+}
+
+// The list stays as it was. When to ask again is not for here to say.
+void DiscoveryWatch::failed(const std::string& why) {
+  calling_ = false;
+  limit_.disarm();
+  next_.disarm();
+  if (stream_) {
+    stream_->close();
+    loop_.retire(std::move(stream_));
+  }
+  response_.reset();
+  ++observer_.counters.discoveryFailures;
+  observer_.note(Topic::Discovery, "a call to discovery failed: " + why);
+  onFailure_();
+}
+
+}  // namespace heathflow::routing
--- /dev/null
+++ b/src/routing/discovery_watch.h
@@ -0,0 +1,58 @@
+// Asks discovery for the list of members and keeps a watch on it, once the module wants one.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "protocol/http_response.h"
+#include "protocol/member_list.h"
+#include "routing/observer.h"
+#include "transport/stream.h"
+
+namespace heathflow::routing {
+
+using transport::Micros;
+
+class DiscoveryWatch final : private transport::StreamOwner {
+ public:
+  using OnList = std::function<void(const protocol::MemberList&)>;
+  using OnFailure = std::function<void()>;
+
+  // 'watchFor': how long one watch waits for something new.
+  DiscoveryWatch(transport::EventLoop& loop, const transport::Endpoint& endpoint, Micros watchFor,
+                 Observer& observer, OnList onList, OnFailure onFailure);
+
+  // The list as it was known at the start; watching goes on from there.
+  void startFrom(std::int64_t revision) { revision_ = revision; }
+  // Asks once, at once. While the call or the watch goes well it stays subscribed by itself.
+  void subscribe();
+
+ private:
+  void onOpen() override;
+  void onInput() override;
+  void onEnd(transport::StreamEnd how) override;
+  void call(Micros wait);
+  void send();
+  void open();
+  void finished();
+  void failed(const std::string& why);
+
+  transport::EventLoop& loop_;
+  transport::Endpoint endpoint_;
+  Micros watchFor_;
+  Observer& observer_;
+  OnList onList_;
+  OnFailure onFailure_;
+  std::int64_t revision_ = -1;  // of the list we hold; below 0: none
+  std::unique_ptr<transport::Stream> stream_;
+  std::unique_ptr<protocol::HttpResponse> response_;
+  transport::Timer limit_;
+  transport::Timer next_;
+  std::string request_;
+  Micros calledAt_ = 0;
+  bool calling_ = false;
+  bool reused_ = false;  // the call went out on a connection that had carried one before
+};
+
+}  // namespace heathflow::routing
--- /dev/null
+++ b/src/routing/hash.h
@@ -0,0 +1,15 @@
+// A hash that is the same in every process (FNV-1a).
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace heathflow::routing {
+
+inline std::uint64_t hashOf(std::string_view text) {
+  std::uint64_t hash = 14695981039346656037U;
+  for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211U;
+  return hash;
+}
+
+}  // namespace heathflow::routing
--- /dev/null
+++ b/src/routing/member_pool.h
@@ -0,0 +1,63 @@
+// The connections to all members: where each is reached, and which connections stand idle.
+#pragma once
+
+#include <list>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "logic.h"
+#include "routing/descriptor_budget.h"
+#include "routing/member_connection.h"
+#include "routing/observer.h"
+
+namespace heathflow::routing {
+
+class MemberPool final : private MemberConnectionOwner {
+ public:
+  struct Times {
+    Micros connectLimit;  // within which a connection must be up
+    Micros idleLimit;     // after which members close an idle one
+  };
+
+  MemberPool(transport::EventLoop& loop, Times times, DescriptorBudget& budget, Observer& observer);
+  ~MemberPool() override;
+
+  // Where a member is reached from now on. When that changes, idle connections to the old place are closed.
+  void place(MemberId member, const transport::Endpoint& endpoint);
+  void forget(MemberId member);
+
+  enum class Started { Yes, NoRoom, Unreachable };
+  // Starts an exchange on the newest idle connection, else on a new one.
+  Started start(MemberId member, Exchange& exchange, MemberConnection*& connection);
+  void closeIdle(MemberId member);
+  // Closes the connection that has been idle longest; false when there is none.
+  bool spareOne();
+
+ private:
+  struct Entry;
+  using IdleList = std::list<std::pair<Micros, MemberConnection*>>;  // the longest idle first
+  struct Place {
+    transport::Endpoint endpoint;
+    std::vector<IdleList::iterator> idle;  // the newest last
+  };
+
+  void onIdle(MemberConnection& connection) override;
+  void onDone(MemberConnection& connection, bool unasked) override;
+  void onProtocolError(MemberConnection& connection) override;
+  void onConnectFailed(MemberConnection& connection) override;
+  void removeIdle(MemberConnection& connection);
+  void retireOld();
+
+  transport::EventLoop& loop_;
+  Times times_;
+  Micros keepIdle_;
+  DescriptorBudget& budget_;
+  Observer& observer_;
+  std::unordered_map<MemberId, Place> places_;
+  std::unordered_map<MemberConnection*, std::unique_ptr<MemberConnection>> connections_;
+  IdleList idle_;
+  transport::Timer retirement_;
+};
+
+}  // namespace heathflow::routing
--- /dev/null
+++ b/src/routing/observer.h
@@ -0,0 +1,58 @@
+// What the gateway counts and reports on its way. The program decides what becomes of it.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace heathflow::routing {
+
+inline constexpr std::size_t kOutcomes = 9;  // of an attempt, in the order of Outcome
+
+struct Counters {
+  // Towards clients.
+  std::uint64_t clientsAccepted = 0;
+  std::uint64_t clientsTurnedAway = 0;
+  std::uint64_t clientProtocolErrors = 0;
+  std::uint64_t requestsTaken = 0;
+  std::uint64_t requestsServed = 0;
+  std::uint64_t requestsRefused = 0;
+  std::uint64_t requestsFailed = 0;
+  std::uint64_t requestsMalformed = 0;  // failed here, for their comment can't be read
+  std::uint64_t requestsLeft = 0;       // by their clients
+  // Towards members.
+  std::uint64_t attemptsMade = 0;
+  std::array<std::uint64_t, kOutcomes> attemptsEnded{};
+  std::uint64_t attemptsWritten = 0;
+  std::uint64_t probesMade = 0;
+  std::uint64_t probesAnswered = 0;
+  std::uint64_t probesTurnedAway = 0;
+  std::uint64_t probesFailed = 0;
+  std::uint64_t connectionsOpened = 0;
+  std::uint64_t connectionsFailed = 0;
+  std::uint64_t connectionsReused = 0;
+  std::uint64_t connectionsRetired = 0;  // idle for too long, or closed on request
+  std::uint64_t connectionsStale = 0;    // found closed, or with bytes that nobody asked for
+  std::uint64_t connectionsSpared = 0;   // idle ones closed to make room for others
+  std::uint64_t memberProtocolErrors = 0;
+  // Towards discovery.
+  std::uint64_t discoveryCalls = 0;
+  std::uint64_t discoveryFailures = 0;
+  std::uint64_t listsTaken = 0;
+  // Descriptors in use for clients and members, now and at the most.
+  std::uint64_t descriptors = 0;
+  std::uint64_t descriptorsPeak = 0;
+};
+
+enum class Topic { Clients, Members, Discovery, Limits };
+
+class Observer {
+ public:
+  virtual ~Observer() = default;
+  virtual void note(Topic topic, const std::string& text) = 0;
+
+  Counters counters;
+};
+
+}  // namespace heathflow::routing
--- /dev/null
+++ b/src/routing/outcome.cpp
@@ -0,0 +1,77 @@
+#include "routing/outcome.h"
+
+#include "protocol/load_report.h"
+
+namespace heathflow::routing {
+namespace {
+
+namespace sqlstate = protocol::sqlstate;
+using Kind = protocol::Answer::Kind;
+
+constexpr Micros kMicrosPerMilli = 1000;
+
+std::string_view codeOf(const ExchangeEnd& end) {
+  return end.answer == nullptr ? std::string_view() : end.answer->code.of(end.bytes);
+}
+
+std::optional<protocol::Decimal> numberAt(const settings::ReportLayout& layout, int index,
+                                          std::string_view text) {
+  if (index < 0) return std::nullopt;
+  const auto field = protocol::reportField(text, layout.fields[static_cast<std::size_t>(index)]);
+  return field ? protocol::parseDecimal(*field) : std::nullopt;
+}
+
+}  // namespace
+
+Outcome outcomeOf(const ExchangeEnd& end) {
+  if (end.cause == ExchangeEnd::Cause::Unwanted) return Outcome::NeverSent;
+  // Whatever ends it before its last byte is written, it has not run.
+  if (end.stage == Stage::Connecting || end.stage == Stage::PartlyWritten) return Outcome::ConnectFailed;
+  if (end.cause != ExchangeEnd::Cause::Answered) return Outcome::Reset;
+  if (end.answer->kind == Kind::Row) return Outcome::Ok;
+  if (end.answer->kind != Kind::Error) return Outcome::Error;  // no value, though it may have run
+  const std::string_view code = codeOf(end);
+  if (code == sqlstate::kTooManyConnections) return Outcome::Full;
+  if (code == sqlstate::kReadOnlyTransaction || code == sqlstate::kSnapshotTooOld) return Outcome::Miss;
+  // A code that is not known proves nothing: it may have run.
+  return Outcome::Error;
+}
+
+Report readReport(const settings::InstanceSettings& settings, std::string_view text) {
+  const settings::ReportLayout& layout = settings.report;
+  Report report;
+  if (const auto position = numberAt(layout, layout.position, text); position && position->micros > 0) {
+    // It may have been rounded up by as much as its last digit.
+    report.position = position->micros - position->step;
+  }
+  if (const auto role = numberAt(layout, layout.role, text)) {
+    report.role = role->micros >= 500'000 ? Role::Primary : Role::Replica;
+  }
+  if (const auto held = numberAt(layout, layout.held, text)) {
+    report.held = static_cast<double>(held->micros) / 1e6;
+  }
+  return report;
+}
+
+void readNews(const settings::InstanceSettings& settings, const ExchangeEnd& end, AttemptEnded& event) {
+  if (end.cause != ExchangeEnd::Cause::Answered) return;
+  const protocol::Answer& answer = *end.answer;
+  if (answer.primary) event.role = *answer.primary ? Role::Primary : Role::Replica;
+  if (answer.positionMs) event.position = *answer.positionMs * kMicrosPerMilli;
+  event.report = readReport(settings, answer.report.of(end.bytes));
+}
+
+ProbeEnded probeEndOf(const settings::InstanceSettings& settings, const ExchangeEnd& end) {
+  ProbeEnded event;
+  if (end.answer == nullptr) return event;
+  if (end.answer->kind == Kind::Row) {
+    event.ok = true;
+    event.report = readReport(settings, end.answer->value.of(end.bytes));
+  } else {
+    const std::string_view code = codeOf(end);
+    event.turnedAway = code == sqlstate::kTooManyConnections || code == sqlstate::kCannotConnectNow;
+  }
+  return event;
+}
+
+}  // namespace heathflow::routing
--- /dev/null
+++ b/src/routing/router.cpp
@@ -0,0 +1,287 @@
+#include "routing/router.h"
+
+#include <algorithm>
+#include <string>
+
+#include "protocol/pg_message.h"
+#include "routing/outcome.h"
+
+namespace heathflow::routing {
+namespace {
+
+template <typename... Handlers>
+struct Overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+
+constexpr Micros kMicrosPerMilli = 1000;
+constexpr std::string_view kProbeStatement = "SHOW stats";
+
+}  // namespace
+
+struct Router::RequestState {
+  RequestId id = 0;
+  Requester* requester = nullptr;  // null once it has its answer or has left
+  protocol::Slice patience;
+  Micros deadline = 0;
+  std::vector<std::unique_ptr<AttemptState>> attempts;
+  std::size_t pending = 0;
+};
+
+struct Router::AttemptState final : Exchange {
+  AttemptState(Router& owner, RequestState& of, std::uint32_t number, MemberId to)
+      : router(owner),
+        request(of),
+        index(number),
+        member(to),
+        startedAt(owner.loop_.now()),
+        limit(owner.loop_, [this] { router.attemptOverdue(*this); }) {}
+
+  // The statement goes out as it came, but for the time that is left.
+  bool writeQuery(transport::Buffer& out) override {
+    if (request.requester == nullptr) return false;
+    const std::string_view statement = request.requester->statement();
+    ++router.observer_.counters.attemptsWritten;
+    if (request.patience.size == 0) return protocol::writeQuery(out, statement, {}, {});
+    const Micros left = std::max<Micros>(1, (until - router.loop_.now()) / kMicrosPerMilli);
+    return protocol::writeQuery(out, statement.substr(0, request.patience.at), std::to_string(left),
+                                statement.substr(request.patience.at + request.patience.size));
+  }
+  void onExchangeEnd(const ExchangeEnd& end) override { router.attemptEnded(*this, outcomeOf(end), &end); }
+
+  Router& router;
+  RequestState& request;
+  std::uint32_t index;
+  MemberId member;
+  Micros startedAt;
+  Micros until = 0;
+  MemberConnection* connection = nullptr;
+  bool ended = false;
+  transport::Timer limit;
+};
+
+struct Router::ProbeState final : Exchange {
+  ProbeState(Router& owner, MemberId to)
+      : router(owner), member(to), startedAt(owner.loop_.now()), limit(owner.loop_, [this] {
+          if (connection != nullptr) connection->abandon();
+          router.probeEnded(*this, {});
+        }) {}
+
+  bool writeQuery(transport::Buffer& out) override {
+    return protocol::writeQuery(out, kProbeStatement, {}, {});
+  }
+  void onExchangeEnd(const ExchangeEnd& end) override {
+    router.probeEnded(*this, probeEndOf(router.settings_, end));
+  }
+
+  Router& router;
+  MemberId member;
+  Micros startedAt;
+  MemberConnection* connection = nullptr;
+  transport::Timer limit;
+};
+
+Router::Router(transport::EventLoop& loop, settings::InstanceSettings settings, std::uint64_t seed,
+               MemberPool& pool, Observer& observer)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      pool_(pool),
+      observer_(observer),
+      ringTimer_(loop, [this] { ringDue(); }),
+      logic_(settings_.logic, seed, loop.now(), actions_) {}
+
+Router::~Router() = default;
+
+void Router::post(Event event) {
+  events_.push_back(std::move(event));
+  run();
+}
+
+// Events are handled one after the other: what an action brings about at once waits for its turn.
+void Router::run() {
+  if (running_) return;
+  running_ = true;
+  std::vector<Action> batch;
+  for (;;) {
+    batch.swap(actions_);
+    for (const Action& action : batch) perform(action);
+    batch.clear();
+    if (events_.empty()) break;
+    const Event event = std::move(events_.front());
+    events_.pop_front();
+    logic_.handle(loop_.now(), event, actions_);
+  }
+  running_ = false;
+}
+
+void Router::perform(const Action& action) {
+  std::visit(Overloaded{
+                 [&](const Attempt& a) { attempt(a); },
+                 [&](const Cancel& a) { cancel(a); },
+                 [&](const Refuse& a) {
+                   const auto found = requests_.find(a.request);
+                   if (found == requests_.end() || found->second->requester == nullptr) return;
+                   Requester* requester = found->second->requester;
+                   ++observer_.counters.requestsRefused;
+                   finish(*found->second);
+                   requester->refused(a.retryAfter);
+                 },
+                 [&](const Fail& a) {
+                   const auto found = requests_.find(a.request);
+                   if (found == requests_.end() || found->second->requester == nullptr) return;
+                   Requester* requester = found->second->requester;
+                   ++observer_.counters.requestsFailed;
+                   finish(*found->second);
+                   requester->failed();
+                 },
+                 [&](const Probe& a) { probe(a.member); },
+                 [&](const Disconnect& a) { pool_.closeIdle(a.member); },
+                 [&](const Subscribe&) {
+                   if (subscribe_) subscribe_();
+                 },
+                 [&](const SetTimer& a) {
+                   rings_.push({loop_.now() + a.after, ++ringOrder_, a.token});
+                   if (rings_.top().order == ringOrder_) ringTimer_.arm(rings_.top().at);
+                 },
+             },
+             action);
+}
+
+void Router::ringDue() {
+  while (!rings_.empty() && rings_.top().at <= loop_.now()) {
+    const std::uint64_t token = rings_.top().token;
+    rings_.pop();
+    post(TimerFired{token});
+  }
+  if (!rings_.empty()) ringTimer_.arm(rings_.top().at);
+}
+
+void Router::submit(Requester& requester, Request request, protocol::Slice patience, RequestId& id) {
+  id = request.id = ++lastId_;
+  auto state = std::make_unique<RequestState>();
+  state->id = request.id;
+  state->requester = &requester;
+  state->patience = patience;
+  state->deadline = request.deadline;
+  requests_.emplace(request.id, std::move(state));
+  ++observer_.counters.requestsTaken;
+  ++unanswered_;
+  post(RequestArrived{request});
+}
+
+void Router::left(RequestId request) {
+  const auto found = requests_.find(request);
+  if (found == requests_.end() || found->second->requester == nullptr) return;
+  ++observer_.counters.requestsLeft;
+  finish(*found->second);
+  post(ClientLeft{request});
+}
+
+// The request has its one answer, or nobody waits for it.
+void Router::finish(RequestState& state) {
+  state.requester = nullptr;
+  --unanswered_;
+  eraseIfDone(state.id);
+}
+
+void Router::eraseIfDone(RequestId id) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end() || found->second->requester != nullptr || found->second->pending != 0) return;
+  loop_.retire(std::move(found->second));
+  requests_.erase(found);
+}
+
+void Router::attempt(const Attempt& action) {
+  const auto found = requests_.find(action.request);
+  if (found == requests_.end()) return;
+  RequestState& state = *found->second;
+  state.attempts.push_back(std::make_unique<AttemptState>(
+      *this, state, static_cast<std::uint32_t>(state.attempts.size()), action.member));
+  AttemptState& attempt = *state.attempts.back();
+  ++state.pending;
+  ++observer_.counters.attemptsMade;
+  attempt.until = action.abandonAt == 0 ? state.deadline : std::min(action.abandonAt, state.deadline);
+  if (state.requester == nullptr || attempt.until <= loop_.now()) {
+    return attemptEnded(attempt, Outcome::NeverSent, nullptr);
+  }
+  attempt.limit.arm(attempt.until);
+  switch (pool_.start(action.member, attempt, attempt.connection)) {
+    case MemberPool::Started::Yes:
+      return;
+    case MemberPool::Started::NoRoom:
+      observer_.note(Topic::Limits, "an attempt was not sent: no descriptor is left for it");
+      return attemptEnded(attempt, Outcome::NeverSent, nullptr);
+    case MemberPool::Started::Unreachable:
+      return attemptEnded(attempt, Outcome::ConnectFailed, nullptr);
+  }
+}
+
+// The module, or the client's time, has given it up. The connection closes before anything else goes out.
+void Router::attemptOverdue(AttemptState& attempt) {
+  const bool written = attempt.connection != nullptr && attempt.connection->stage() != Stage::Connecting;
+  attempt.connection->abandon();
+  // What was never written has never run: the time was out before a connection was up.
+  attemptEnded(attempt, written ? Outcome::TimedOut : Outcome::NeverSent, nullptr);
+}
+
+void Router::cancel(const Cancel& action) {
+  const auto found = requests_.find(action.request);
+  if (found == requests_.end() || action.attempt >= found->second->attempts.size()) return;
+  AttemptState& attempt = *found->second->attempts[action.attempt];
+  if (attempt.ended) return;
+  attempt.connection->abandon();
+  attemptEnded(attempt, Outcome::Cancelled, nullptr);
+}
+
+void Router::attemptEnded(AttemptState& attempt, Outcome outcome, const ExchangeEnd* end) {
+  if (attempt.ended) return;
+  attempt.ended = true;
+  attempt.limit.disarm();
+  attempt.connection = nullptr;
+  RequestState& state = attempt.request;
+  const RequestId id = state.id;
+  ++observer_.counters.attemptsEnded[static_cast<std::size_t>(outcome)];
+  AttemptEnded event;
+  event.request = id;
+  event.attempt = attempt.index;
+  event.member = attempt.member;
+  event.outcome = outcome;
+  event.elapsed = loop_.now() - attempt.startedAt;
+  if (end != nullptr) readNews(settings_, *end, event);
+  --state.pending;
+  Requester* requester = state.requester;
+  if (outcome == Outcome::Ok && requester != nullptr) {
+    ++observer_.counters.requestsServed;
+    finish(state);
+  }
+  event.finished = requester == nullptr || outcome == Outcome::Ok;
+  // The module hears of it first: what the client asks next is decided with this known.
+  post(event);
+  if (outcome == Outcome::Ok && requester != nullptr) requester->served(*end->answer, end->bytes);
+  eraseIfDone(id);
+}
+
+void Router::probe(MemberId member) {
+  if (probes_.contains(member)) return;
+  ++observer_.counters.probesMade;
+  ProbeState& state = *probes_.emplace(member, std::make_unique<ProbeState>(*this, member)).first->second;
+  // A probe has no limit of its own in the settings: it gets that of a connection.
+  state.limit.arm(loop_.now() + settings_.logic.connectTimeout);
+  if (pool_.start(member, state, state.connection) != MemberPool::Started::Yes) probeEnded(state, {});
+}
+
+void Router::probeEnded(ProbeState& probe, ProbeEnded event) {
+  const auto found = probes_.find(probe.member);
+  if (found == probes_.end() || found->second.get() != &probe) return;
+  probe.limit.disarm();
+  event.member = probe.member;
+  event.elapsed = loop_.now() - probe.startedAt;
+  ++(event.ok           ? observer_.counters.probesAnswered
+     : event.turnedAway ? observer_.counters.probesTurnedAway
+                        : observer_.counters.probesFailed);
+  loop_.retire(std::move(found->second));
+  probes_.erase(found);
+  post(event);
+}
+
+}  // namespace heathflow::routing
--- a/src/wirehost/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,10 +1,10 @@
-#include "wirehost/settings.h"
+#include "settings/settings.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <string>
 
-namespace heathflow::wirehost {
+namespace heathflow::settings {
 namespace {
 
 using Json = nlohmann::json;
@@ -80,7 +80,8 @@
 
 ReportLayout readLayout(const Json& report) {
   ReportLayout layout;
-  const auto fields = readOr<std::vector<std::string>>(report, "Fields", {});
+  layout.fields = readOr<std::vector<std::string>>(report, "Fields", {});
+  const auto& fields = layout.fields;
   for (std::size_t i = 0; i < fields.size(); ++i) {
     if (fields[i] == "x0") layout.position = static_cast<int>(i);
     if (fields[i] == "x1") layout.role = static_cast<int>(i);
@@ -100,7 +101,10 @@
   Settings& logic = out.logic;
   const Json& classes = need(json, "Classes");
   if (!classes.is_array()) throw SettingsError("settings: the key 'Classes' holds a value of the wrong type");
-  for (const Json& entry : classes) logic.classes.push_back(readClass(entry));
+  for (const Json& entry : classes) {
+    logic.classes.push_back(readClass(entry));
+    out.classNames.push_back(readOr<std::string>(entry, "Name", ""));
+  }
 
   const Json& family = need(json, "FamilyInfo");
   const auto words = read<std::vector<std::string>>(family, "Consistency");
@@ -125,6 +129,7 @@
   logic.maxRetryAfter = readOr<Micros>(limits, "MaxRetryAfter", 0);
   logic.maxAttempts = read<unsigned>(limits, "MaxAttempts");
   logic.connectTimeout = readOr<Micros>(limits, "ConnectTimeout", 0);
+  out.idleTime = readOr<Micros>(limits, "ConnIdle", 0);
 
   const Json& contract = need(json, "Contract");
   logic.askWithin = readOr<Micros>(contract, "AskWithin", 0);
@@ -139,4 +144,4 @@
   return out;
 }
 
-}  // namespace heathflow::wirehost
+}  // namespace heathflow::settings
--- a/src/wirehost/settings.h
+++ b/src/settings/settings.h
@@ -1,19 +1,22 @@
-// Reads the settings text that an instance is started with.
+// Reads the settings that an instance is started with, on the simulator's wire and on sockets alike.
 #pragma once
 
 #include <stdexcept>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include "logic.h"
 
-namespace heathflow::wirehost {
+namespace heathflow::settings {
 
 class SettingsError : public std::runtime_error {
   using std::runtime_error::runtime_error;
 };
 
-// Where the wire keeps each value of a load report; -1: not reported.
+// Which field of a load report holds what; -1: not reported.
 struct ReportLayout {
+  std::vector<std::string> fields;
   int position = -1;
   int role = -1;
   int held = -1;
@@ -24,9 +27,11 @@
   ReportLayout report;
   Micros positionZero = 0;
   bool answersShowPosition = false;
+  std::vector<std::string> classNames;
+  Micros idleTime = 0;  // after which members close an idle connection; 0: never
 };
 
 // Throws SettingsError, naming the key, when the text is not JSON or lacks what is needed.
 InstanceSettings parseSettings(std::string_view text);
 
-}  // namespace heathflow::wirehost
+}  // namespace heathflow::settings
--- /dev/null
+++ b/src/transport/clock.h
@@ -0,0 +1,36 @@
+// The one source of time: Unix microseconds that never run backwards.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace heathflow::transport {
+
+using Micros = std::int64_t;
+
+// Runs with the steady clock. It follows the wall clock forwards, for a clock that stays behind would make
+// old data look young; a wall clock that is set back is not followed, so that timers never stall.
+class Clock {
+ public:
+  Micros now() {
+    return follow(sinceEpoch<std::chrono::steady_clock>(), sinceEpoch<std::chrono::system_clock>());
+  }
+
+  // The reading for a pair of steady and wall times.
+  Micros follow(Micros steady, Micros wall) {
+    if (!started_ || wall - steady > offset_) offset_ = wall - steady;
+    started_ = true;
+    return steady + offset_;
+  }
+
+ private:
+  template <typename Source>
+  static Micros sinceEpoch() {
+    return std::chrono::duration_cast<std::chrono::microseconds>(Source::now().time_since_epoch()).count();
+  }
+
+  Micros offset_ = 0;
+  bool started_ = false;
+};
+
+}  // namespace heathflow::transport
--- /dev/null
+++ b/src/transport/event_loop.cpp
@@ -0,0 +1,112 @@
+#include "transport/event_loop.h"
+
+#include <sys/epoll.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <ctime>
+#include <system_error>
+
+namespace heathflow::transport {
+namespace {
+
+constexpr int kEventsPerTurn = 256;
+constexpr Micros kMicrosPerSecond = 1'000'000;
+constexpr std::uint32_t kInterest = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
+
+}  // namespace
+
+EventLoop::EventLoop() : epoll_(::epoll_create1(EPOLL_CLOEXEC)), now_(clock_.now()) {
+  if (!epoll_) throw std::system_error(errno, std::generic_category(), "epoll");
+}
+
+bool EventLoop::watch(int fd, IoHandler& handler) {
+  epoll_event event{};
+  event.events = kInterest;
+  event.data.ptr = &handler;
+  return ::epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &event) == 0;
+}
+
+void EventLoop::unwatch(int fd, IoHandler& handler) {
+  ::epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, fd, nullptr);
+  std::erase(again_, &handler);
+  for (auto& [waiting, events] : ready_) {
+    if (waiting == &handler) waiting = nullptr;
+  }
+}
+
+void EventLoop::again(IoHandler& handler) {
+  if (std::find(again_.begin(), again_.end(), &handler) == again_.end()) again_.push_back(&handler);
+}
+
+void EventLoop::wait(Micros most) {
+  Micros span = most;
+  if (!again_.empty()) {
+    span = 0;
+  } else if (!timers_.empty()) {
+    const Micros due = std::max<Micros>(0, timers_.begin()->first - clock_.now());
+    span = most == kForever ? due : std::min(due, most);
+  }
+  std::array<epoll_event, kEventsPerTurn> events;
+  timespec limit{};
+  limit.tv_sec = span / kMicrosPerSecond;
+  limit.tv_nsec = span % kMicrosPerSecond * 1000;
+  int count =
+      ::epoll_pwait2(epoll_.get(), events.data(), kEventsPerTurn, span < 0 ? nullptr : &limit, nullptr);
+  if (count < 0 && (errno == ENOSYS || errno == EPERM)) {
+    // A kernel without the finer call: rounded up, so that a timer is never looked at too early.
+    const int millis = span < 0 ? -1 : static_cast<int>(std::min<Micros>((span + 999) / 1000, 60'000));
+    count = ::epoll_wait(epoll_.get(), events.data(), kEventsPerTurn, millis);
+  }
+  now_ = clock_.now();
+  for (int i = 0; i < count; ++i) {
+    const epoll_event& event = events[static_cast<std::size_t>(i)];
+    ready_.emplace_back(static_cast<IoHandler*>(event.data.ptr), event.events);
+  }
+}
+
+void EventLoop::runTimers() {
+  while (!timers_.empty() && timers_.begin()->first <= now_) {
+    Timer* timer = timers_.begin()->second;
+    timer->disarm();
+    timer->action_();
+  }
+}
+
+void EventLoop::turn(Micros most) {
+  ready_.clear();
+  wait(most);
+  for (IoHandler* handler : again_) ready_.emplace_back(handler, EPOLLIN | EPOLLOUT);
+  again_.clear();
+  // What has come in goes first: an answer that is here is not timed out.
+  for (std::size_t i = 0; i < ready_.size(); ++i) {
+    if (ready_[i].first != nullptr) ready_[i].first->onReady(ready_[i].second);
+  }
+  ready_.clear();
+  runTimers();
+  // What is let go may let go of more.
+  while (!retired_.empty()) {
+    auto gone = std::move(retired_);
+    retired_.clear();
+  }
+}
+
+void EventLoop::run() {
+  while (!stopping_) turn();
+}
+
+void Timer::arm(Micros at) {
+  disarm();
+  at_ = at;
+  armed_ = true;
+  loop_.timers_.emplace(at_, this);
+}
+
+void Timer::disarm() {
+  if (!armed_) return;
+  loop_.timers_.erase({at_, this});
+  armed_ = false;
+}
+
+}  // namespace heathflow::transport
--- /dev/null
+++ b/src/transport/stream.cpp
@@ -0,0 +1,131 @@
+#include "transport/stream.h"
+
+#include <sys/epoll.h>
+
+#include <exception>
+
+namespace heathflow::transport {
+namespace {
+
+// What one connection may read in a turn, so that a busy one does not starve the others.
+constexpr std::size_t kReadPerTurn = 256 * 1024;
+
+}  // namespace
+
+Stream::Stream(EventLoop& loop, StreamOwner& owner, Limits limits)
+    : loop_(loop), owner_(owner), input_(limits.input), output_(limits.output) {}
+
+bool Stream::adopt(UniqueFd fd) {
+  fd_ = std::move(fd);
+  if (loop_.watch(fd_.get(), *this)) return true;
+  fd_.reset();
+  return false;
+}
+
+bool Stream::connect(const Endpoint& endpoint, int& error) {
+  Opened opened = startConnect(endpoint);
+  error = opened.error;
+  if (!opened.fd) return false;
+  connecting_ = true;
+  return adopt(std::move(opened.fd));
+}
+
+void Stream::close() {
+  if (!fd_) return;
+  loop_.unwatch(fd_.get(), *this);
+  fd_.reset();
+  connecting_ = false;
+}
+
+void Stream::endSending() {
+  if (open()) transport::endSending(fd_.get());
+}
+
+void Stream::end(StreamEnd how) {
+  if (closed()) return;
+  close();
+  owner_.onEnd(how);
+}
+
+void Stream::onReady(std::uint32_t events) {
+  // Guards the process: whatever goes wrong in here ends this connection and no more.
+  try {
+    handle(events);
+  } catch (const std::exception&) {
+    end(StreamEnd::Failed);
+  }
+}
+
+void Stream::handle(std::uint32_t events) {
+  if (closed()) return;
+  if (connecting_) {
+    if ((events & (EPOLLOUT | EPOLLERR | EPOLLHUP)) == 0) return;
+    if (pendingError(fd_.get()) != 0) return end(StreamEnd::NotConnected);
+    connecting_ = false;
+    owner_.onOpen();
+  }
+  if (closed()) return;
+  if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
+    readInput((events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0);
+  }
+  if (closed() || (events & EPOLLOUT) == 0 || output_.empty()) return;
+  if (!writeOutput()) return end(StreamEnd::Failed);
+  if (output_.empty()) owner_.onDrained();
+}
+
+void Stream::readInput(bool hungUp) {
+  hungUp_ = hungUp_ || hungUp;
+  std::size_t got = 0;
+  StreamEnd ended = StreamEnd::Closed;
+  bool over = false;
+  stalled_ = false;
+  while (!over) {
+    const Buffer::Room room = input_.room();
+    if (room.size == 0) {
+      stalled_ = true;
+      break;
+    }
+    if (got >= kReadPerTurn) {
+      loop_.again(*this);
+      break;
+    }
+    const Transfer moved = readSome(fd_.get(), room.at, room.size);
+    if (moved.kind == Transfer::Kind::WouldBlock) break;
+    if (moved.kind == Transfer::Kind::Done) {
+      input_.filled(moved.size);
+      got += moved.size;
+      // A read that leaves room has emptied the socket, and a later arrival is a new edge; a close that has
+      // already been seen would not be.
+      if (moved.size < room.size && !hungUp_) break;
+      continue;
+    }
+    over = true;
+    if (moved.kind == Transfer::Kind::Failed) ended = StreamEnd::Failed;
+  }
+  if (got > 0) owner_.onInput();
+  // Guards against a peer that closes behind an input that nobody empties.
+  if (stalled_ && hungUp_) over = true;
+  if (over) end(ended);
+}
+
+void Stream::resume() {
+  if (open() && stalled_) loop_.again(*this);
+}
+
+bool Stream::writeOutput() {
+  while (!output_.empty()) {
+    const std::string_view bytes = output_.view();
+    const Transfer moved = writeSome(fd_.get(), bytes.data(), bytes.size());
+    if (moved.kind == Transfer::Kind::WouldBlock) return true;
+    if (moved.kind != Transfer::Kind::Done) return false;
+    output_.consume(moved.size);
+  }
+  return true;
+}
+
+// A failure is told by the loop, never from within: the event that comes with it is sure to follow.
+void Stream::flush() {
+  if (open() && !output_.empty() && !writeOutput()) loop_.again(*this);
+}
+
+}  // namespace heathflow::transport
--- /dev/null
+++ b/src/transport/stream.h
@@ -0,0 +1,74 @@
+// One connection: its descriptor and its buffers, read and written until the socket has no more.
+#pragma once
+
+#include <cstddef>
+#include <string_view>
+
+#include "transport/buffer.h"
+#include "transport/event_loop.h"
+#include "transport/socket.h"
+
+namespace heathflow::transport {
+
+enum class StreamEnd { NotConnected, Closed, Failed };
+
+class StreamOwner {
+ public:
+  virtual ~StreamOwner() = default;
+  virtual void onOpen() {}            // an outgoing connection is up
+  virtual void onInput() = 0;         // more bytes stand in the input
+  virtual void onDrained() {}         // all output has been handed to the kernel
+  virtual void onEnd(StreamEnd) = 0;  // by the peer or the network; the stream is closed
+};
+
+class Stream final : private IoHandler {
+ public:
+  struct Limits {
+    std::size_t input;
+    std::size_t output;
+  };
+
+  Stream(EventLoop& loop, StreamOwner& owner, Limits limits);
+  ~Stream() override { close(); }
+  Stream(const Stream&) = delete;
+  Stream& operator=(const Stream&) = delete;
+
+  // Takes over a connection that is up. False when it can't be watched.
+  bool adopt(UniqueFd fd);
+  // Starts one. The owner hears of it later, of failures too.
+  bool connect(const Endpoint& endpoint, int& error);
+
+  Buffer& input() { return input_; }
+  const Buffer& input() const { return input_; }
+  Buffer& output() { return output_; }
+  const Buffer& output() const { return output_; }
+  bool open() const { return static_cast<bool>(fd_) && !connecting_; }
+  bool closed() const { return !fd_; }
+  // Hands as much of the output to the kernel as it takes.
+  void flush();
+  // Reads on after the owner has made room in a full input.
+  void resume();
+  // Whether nothing has come in unnoticed: no bytes, no close, no error.
+  bool quiet() const { return open() && input_.empty() && transport::quiet(fd_.get()); }
+  // Nothing more is sent; what the peer sends is still read.
+  void endSending();
+  void close();
+
+ private:
+  void onReady(std::uint32_t events) override;
+  void handle(std::uint32_t events);
+  void readInput(bool hungUp);
+  bool writeOutput();
+  void end(StreamEnd how);
+
+  EventLoop& loop_;
+  StreamOwner& owner_;
+  Buffer input_;
+  Buffer output_;
+  UniqueFd fd_;
+  bool connecting_ = false;
+  bool stalled_ = false;  // the input was full when there was more to read
+  bool hungUp_ = false;   // and the peer has closed behind it
+};
+
+}  // namespace heathflow::transport
--- a/src/wirehost/host.h
+++ b/src/wirehost/host.h
@@ -7,11 +7,14 @@
 #include <string_view>
 
 #include "logic.h"
+#include "settings/settings.h"
 #include "wirehost/codec.h"
-#include "wirehost/settings.h"
 
 namespace heathflow::wirehost {
 
+using settings::InstanceSettings;
+using settings::parseSettings;
+
 class Host {
  public:
   // Takes the body of one batch, gives the reply frame. Throws FrameError or SettingsError.
--- a/tests/host_test.cpp
+++ b/tests/host_test.cpp
@@ -100,7 +100,7 @@
   EXPECT_THROW(Batch().add(kWrite).to(host), FrameError);
   EXPECT_THROW(Batch().add(kFor3).add(kWrite).to(host), FrameError);
   EXPECT_THROW(Batch().add(kFor3).init(kSettingsText).add("0500 09000000 02 29000000").to(host), FrameError);
-  EXPECT_THROW(Batch().add(kFor3).init("{}").to(host), SettingsError);
+  EXPECT_THROW(Batch().add(kFor3).init("{}").to(host), settings::SettingsError);
 }
 
 TEST(Host, UnknownStatusCodesCountAsMayHaveRun) {
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -1,5 +1,5 @@
 // The settings text: what is needed, what is skipped, and words that are not known.
-#include "wirehost/settings.h"
+#include "settings/settings.h"
 
 #include <gtest/gtest.h>
 
@@ -7,7 +7,7 @@
 
 #include "settings_text.h"
 
-namespace heathflow::wirehost {
+namespace heathflow::settings {
 namespace {
 
 using test::kSettingsText;
@@ -87,4 +87,4 @@
 }
 
 }  // namespace
-}  // namespace heathflow::wirehost
+}  // namespace heathflow::settings
