--- a/src/routing/client_listener.cpp
+++ b/src/routing/client_listener.cpp
@@ -84,7 +84,8 @@
     observer_.note(Topic::Limits, "a client is turned away: no descriptor is left for it");
     if (!budget_.clientMayBeToldOff()) return;
   }
-  auto session = std::make_unique<ClientSession>(loop_, static_cast<ClientSessionOwner&>(*this), router_, classes_, observer_);
+  auto session = std::make_unique<ClientSession>(loop_, static_cast<ClientSessionOwner&>(*this), router_,
+                                                 classes_, observer_);
   if (!session->adopt(std::move(fd))) return;
   if (!fits) session->turnAway();
   if (draining_) session->leave(false);
