--- a/src/program/gateway.h
+++ b/src/program/gateway.h
@@ -18,6 +18,8 @@
 
   // Takes clients from here on; false, and why, when the address can't be had.
   bool start(std::string& problem);
+  // Where clients reach it.
+  std::optional<transport::Endpoint> boundTo() const { return listener_.boundTo(); }
   // Lets all clients go between their requests, then calls back.
   void drain(std::function<void()> done) { listener_.drain(std::move(done)); }
 
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -38,7 +38,7 @@
     program::logLine(problem);
     return 1;
   }
-  program::logLine(config.name + " serves at " + toText(config.listen));
+  program::logLine(config.name + " serves at " + toText(gateway.boundTo().value_or(config.listen)));
   loop.run();
   logCounters(log.counters);
   return 0;
--- /dev/null
+++ b/tests/gateway_rig.h
@@ -0,0 +1,141 @@
+// A whole gateway on a loop of its own, between stand-ins.
+#pragma once
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "program/gateway.h"
+#include "standins.h"
+
+namespace heathflow::test {
+
+struct GatewayOptions {
+  long aimMs = 20'000;  // far beyond what a test takes, so that no verdict hangs on the machine's speed
+  long deadlineMs = 60'000;
+  long connectTimeoutMs = 20'000;
+  long idleMs = 600'000;
+  long maxAgeMs = 3'000'000;
+  std::size_t sockets = 256;
+};
+
+inline std::string settingsText(const GatewayOptions& options) {
+  const auto micros = [](long millis) { return std::to_string(millis * 1000); };
+  const std::string times =
+      "\"Aim\":" + micros(options.aimMs) + ",\"Deadline\":" + micros(options.deadlineMs);
+  return "{\"Balancers\":1,\"Classes\":["
+         "{" +
+         times +
+         ",\"Effect\":\"retryable\",\"Group\":\"all\",\"Name\":\"view\",\"Value\":3},"
+         "{" +
+         times +
+         ",\"Effect\":\"retryable\",\"Group\":\"all\",\"Name\":\"any\",\"Value\":2},"
+         "{" +
+         times +
+         ",\"Effect\":\"retryable\",\"Group\":\"all\",\"Name\":\"status\",\"Value\":2},"
+         "{" +
+         times +
+         ",\"Effect\":\"fragile\",\"Group\":\"cell\",\"Name\":\"save\",\"Value\":3}],"
+         "\"Contract\":{\"AnswerSlack\":20000,\"AskWithin\":10000000,\"ColdFrom\":0.2,\"DrainGrace\":250000,"
+         "\"Fall\":2000000,"
+         "\"FallMultiple\":2.5,\"WarmUp\":10000000},\"Discovery\":\"ask\",\"Family\":\"replicas\","
+         "\"FamilyInfo\":{\"Consistency\":[\"bounded\",\"any\",\"fresh\",\"write\"],\"Guards\":\"silent\","
+         "\"MaxAge\":[" +
+         micros(options.maxAgeMs) +
+         ",0,0,0],\"PositionZero\":0,\"ShowsRole\":\"late\",\"TokenMode\":\"remembered\"},"
+         "\"Limits\":{\"Cancel\":true,\"ConnIdle\":" +
+         micros(options.idleMs) + ",\"ConnectTimeout\":" + micros(options.connectTimeoutMs) +
+         ",\"MaxAttempts\":10,\"MaxRetryAfter\":500000,\"ParallelTries\":false,\"Probing\":true,"
+         "\"RetryAfter\":true},"
+         "\"Report\":{\"Fields\":[\"x0\",\"x1\"],\"How\":\"pull\"},\"Tick\":5000}";
+}
+
+inline std::string entry(const std::string& id, const std::string& address, bool primary,
+                         const std::string& phase = "Ready", long upSinceMs = 0) {
+  return "{\"id\":\"" + id + "\",\"host_port\":\"" + address +
+         "\",\"locality\":\"a\",\"flavor\":\"m\",\"cell\":0,\"phase\":\"" + phase +
+         "\",\"size\":1.0,\"up_since_ms\":" + std::to_string(upSinceMs) + ",\"mode\":\"" +
+         (primary ? "read-write" : "read-only") + "\"}";
+}
+
+inline std::string configText(const GatewayOptions& options, const std::string& discovery,
+                              const std::string& known) {
+  return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery +
+         "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" +
+         std::to_string(options.sockets) +
+         "},\"known\":{\"revision\":1,\"complete\":true,\"members\":" + known +
+         "},\"settings\":" + settingsText(options) + "}";
+}
+
+inline std::string request(const std::string& className, const std::string& id,
+                           const std::string& more = "") {
+  return "SELECT blob FROM rows WHERE handle = 'key' /* id=" + id + ",c=" + className + ",d=50000,cluster=0" +
+         more + " */";
+}
+
+class Notes final : public routing::Observer {
+ public:
+  void note(routing::Topic, const std::string& text) override { lines.push_back(text); }
+  std::vector<std::string> lines;
+};
+
+// One group: the first member leads it.
+class GatewayRig {
+ public:
+  explicit GatewayRig(GatewayOptions options = {}, std::size_t size = 3) : discovery(loop) {
+    for (std::size_t i = 0; i < size; ++i) {
+      members.push_back(
+          std::make_unique<MemberStandIn>(loop, kLoopback + 1 + static_cast<std::uint32_t>(i)));
+      members.back()->primary = i == 0;
+    }
+    discovery.members = list();
+    std::string problem;
+    if (!program::parseConfig(configText(options, discovery.address(), list()), config, problem)) {
+      throw std::runtime_error(problem);
+    }
+    start();
+  }
+  std::string list() const {
+    std::string out = "[";
+    for (std::size_t i = 0; i < members.size(); ++i) {
+      out += (i == 0 ? "" : ",") + entry("m" + std::to_string(i), members[i]->address(), i == 0);
+    }
+    return out + "]";
+  }
+  void start() {
+    gateway = std::make_unique<program::Gateway>(loop, config, notes);
+    std::string problem;
+    if (!gateway->start(problem)) throw std::runtime_error(problem);
+    endpoint = *gateway->boundTo();
+  }
+  template <typename Condition>
+  bool until(Condition&& condition) {
+    return test::until(loop, std::forward<Condition>(condition));
+  }
+  const routing::Counters& counters() const { return notes.counters; }
+  std::uint64_t outcomes(Outcome outcome) const {
+    return counters().attemptsEnded[static_cast<std::size_t>(outcome)];
+  }
+  // The statements that members have had, all together.
+  std::vector<std::string> statements() const {
+    std::vector<std::string> out;
+    for (const auto& member : members)
+      out.insert(out.end(), member->statements.begin(), member->statements.end());
+    return out;
+  }
+  // The same behaviour for all members.
+  void answerAll(const MemberStandIn::Answer& answer) {
+    for (auto& member : members) member->answer = answer;
+  }
+
+  transport::EventLoop loop;
+  Notes notes;
+  DiscoveryStandIn discovery;
+  std::vector<std::unique_ptr<MemberStandIn>> members;
+  program::Config config;
+  std::unique_ptr<program::Gateway> gateway;
+  transport::Endpoint endpoint;
+};
+
+}  // namespace heathflow::test
--- /dev/null
+++ b/tests/gateway_test.cpp
@@ -0,0 +1,423 @@
+// The whole gateway between stand-ins for clients, members and discovery.
+#include <gtest/gtest.h>
+
+#include "gateway_rig.h"
+
+namespace heathflow::test {
+namespace {
+
+TEST(GatewayServes, AnEmptyQueryOnceItHasItsListAndSettings) {
+  GatewayRig rig;
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask("");
+  EXPECT_TRUE(client.answered());
+  EXPECT_EQ(client.types(), "IZ");
+}
+
+TEST(GatewayServes, AValueByteForByte) {
+  GatewayRig rig;
+  std::string value;
+  for (int i = 0; i < 64 * 1024; ++i) value += static_cast<char>(i * 7);
+  rig.answerAll([&](Line& line, const std::string&) { line.say(rig.members[0]->value(value)); });
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask(request("any", "1"));
+  ASSERT_TRUE(client.answered());
+  EXPECT_EQ(client.types(), "TDCZ");
+  EXPECT_EQ(client.value(), value);
+  EXPECT_EQ(rig.counters().requestsServed, 1U);
+}
+
+TEST(GatewayServes, AQueryRightBehindTheStartupAndSeveralInOrder) {
+  GatewayRig rig;
+  rig.answerAll([&](Line& line, const std::string& statement) {
+    line.say(rig.members[0]->value(statement.substr(statement.find("id="), 4)));
+  });
+  ClientStandIn client(rig.loop, rig.endpoint, false);
+  client.say(pg::startup() + pg::query(request("any", "1")) + pg::query(request("any", "2")) + pg::query("") +
+             pg::query(request("any", "3")));
+  ASSERT_TRUE(client.answered(5));
+  EXPECT_EQ(client.value(0), "id=1");
+  EXPECT_EQ(client.value(1), "id=2");
+  EXPECT_EQ(client.value(2), "id=3");
+}
+
+TEST(GatewayServes, WritesAtThePrimaryAndReadsAtReplicas) {
+  GatewayRig rig;
+  ClientStandIn client(rig.loop, rig.endpoint);
+  for (int i = 0; i < 20; ++i) {
+    client.ask(request(i % 2 == 0 ? "save" : "any", std::to_string(i)));
+    ASSERT_TRUE(client.answered(static_cast<std::size_t>(i) + 1));
+  }
+  for (const std::string& statement : rig.members[0]->statements) {
+    EXPECT_NE(statement.find("c=save"), std::string::npos) << statement;
+  }
+  EXPECT_EQ(rig.members[0]->statements.size(), 10U);
+  EXPECT_EQ(rig.counters().requestsServed, 20U);
+}
+
+TEST(GatewayPassesOn, TheStatementWithTheTimeThatIsLeft) {
+  GatewayRig rig;
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask(
+      "INSERT INTO rows (handle, blob) VALUES ('k', '\\x9f03') RETURNING blob /* "
+      "id=a1,c=save,d=50000,k=5c0f,cluster=0 */");
+  ASSERT_TRUE(client.answered());
+  const auto statements = rig.statements();
+  ASSERT_EQ(statements.size(), 1U);
+  const std::string head =
+      "INSERT INTO rows (handle, blob) VALUES ('k', '\\x9f03') RETURNING blob /* id=a1,c=save,d=";
+  ASSERT_EQ(statements[0].substr(0, head.size()), head);
+  const std::size_t comma = statements[0].find(',', head.size());
+  EXPECT_EQ(statements[0].substr(comma), ",k=5c0f,cluster=0 */");
+  const int left = std::stoi(statements[0].substr(head.size(), comma - head.size()));
+  EXPECT_GT(left, 0);
+  EXPECT_LE(left, 50'000);
+}
+
+TEST(GatewayPassesOn, NothingOfARequestThatItCanNotRead) {
+  GatewayRig rig;
+  ClientStandIn client(rig.loop, rig.endpoint);
+  std::size_t asked = 0;
+  for (const char* statement :
+       {"SELECT 1", "SELECT 1 /* c=any,d=100,cluster=0 */", "SELECT 1 /* id=1,d=100,cluster=0 */",
+        "SELECT 1 /* id=1,c=any,d=100 */", "SELECT 1 /* id=1,c=other,d=100,cluster=0 */",
+        "SELECT 1 /* id=1,c=any,d=soon,cluster=0 */", "SELECT 'open /* id=1,c=any,d=100,cluster=0 */"}) {
+    client.forget();
+    client.ask(statement);
+    ASSERT_TRUE(client.answered());
+    EXPECT_EQ(client.types(), "EZ") << statement;
+    EXPECT_EQ(client.code(), "22023") << statement;
+    EXPECT_EQ(rig.counters().requestsMalformed, ++asked);
+  }
+  EXPECT_TRUE(rig.statements().empty());
+}
+
+TEST(GatewayClients, ThatBreakTheProtocolEndAloneAndAreCounted) {
+  GatewayRig rig;
+  ClientStandIn good(rig.loop, rig.endpoint);
+  ClientStandIn bad(rig.loop, rig.endpoint);
+  bad.say("?" + pg::u32(1 << 30));
+  EXPECT_TRUE(bad.gone());
+  EXPECT_EQ(rig.counters().clientProtocolErrors, 1U);
+  good.ask(request("any", "1"));
+  EXPECT_TRUE(good.answered());
+  EXPECT_EQ(good.types(), "TDCZ");
+}
+
+// What a client has left behind is cancelled: its connection closes, and nobody else gets the answer.
+TEST(GatewayClients, ThatLeaveTakeTheirAttemptWithThem) {
+  GatewayRig rig;
+  rig.answerAll([](Line&, const std::string&) {});
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask(request("save", "1"));
+  ASSERT_TRUE(rig.until([&] { return rig.statements().size() == 1; }));
+  client.hangUp();
+  EXPECT_TRUE(rig.until([&] { return rig.counters().requestsLeft == 1; }));
+  EXPECT_EQ(rig.outcomes(Outcome::Cancelled), 1U);
+  EXPECT_TRUE(rig.until([&] {
+    return std::any_of(rig.members[0]->lines.begin(), rig.members[0]->lines.end(),
+                       [](auto& l) { return l->ended; });
+  }));
+}
+
+TEST(GatewayAnswers, RefusedAndFailedAreNeverMixedUp) {
+  GatewayOptions options;
+  options.aimMs = options.deadlineMs = 300;
+  GatewayRig rig(options);
+  // Full never ran: a refusal. An error may have run, and an unsafe request is then failed.
+  rig.answerAll([](Line& line, const std::string&) {
+    line.say(pg::error("53300") + MemberStandIn::news(true) + pg::ready());
+  });
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask(request("save", "1"));
+  ASSERT_TRUE(client.answered());
+  EXPECT_EQ(client.types(), "EZ");
+  EXPECT_EQ(client.code(), "53300");
+  EXPECT_EQ(pg::field(client.messages()[0].body, 'D'), "500");
+  rig.answerAll([](Line& line, const std::string&) {
+    line.say(pg::error("XX000") + MemberStandIn::news(true) + pg::ready());
+  });
+  ClientStandIn other(rig.loop, rig.endpoint);
+  ASSERT_TRUE(rig.until([&] {
+    other.forget();
+    other.ask(request("save", "2"));
+    return other.answered() && rig.outcomes(Outcome::Error) == 1;
+  }));
+  EXPECT_NE(other.code(), "53300");
+  EXPECT_NE(other.code(), "57P03");
+  EXPECT_EQ(rig.counters().requestsFailed, 1U);
+}
+
+// Guards the rule on effects: an unsafe request whose connection broke behind its last byte is not sent
+// again.
+TEST(GatewayAnswers, AnUnsafeRequestIsSentOnceThoughItsConnectionBreaks) {
+  GatewayRig rig;
+  rig.answerAll([](Line& line, const std::string&) { line.hangUp(); });
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask(request("save", "1"));
+  ASSERT_TRUE(client.answered());
+  EXPECT_EQ(client.types(), "EZ");
+  EXPECT_NE(client.code(), "53300");
+  EXPECT_EQ(rig.statements().size(), 1U);
+  EXPECT_EQ(rig.outcomes(Outcome::Reset), 1U);
+}
+
+TEST(GatewayAnswers, ASafeReadGoesElsewhereWhenItsAnswerBreaksOffHalfway) {
+  GatewayRig rig;
+  rig.members[1]->answer = rig.members[2]->answer = [](Line& line, const std::string&) {
+    line.say(pg::rowDescription() + pg::dataRow("half"));
+    line.hangUp();
+  };
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask(request("any", "1"));
+  ASSERT_TRUE(client.answered());
+  EXPECT_EQ(client.types(), "TDCZ");
+  EXPECT_EQ(client.value(), "from " + rig.members[0]->address());
+  EXPECT_EQ(rig.counters().requestsServed, 1U);
+}
+
+// Guards the rule on second copies: an attempt that is given up is closed before the next goes out.
+TEST(GatewayAnswers, NoAttemptGoesOutWhileAnEarlierOneIsOpen) {
+  GatewayRig rig;
+  std::size_t open = 0;
+  std::size_t most = 0;
+  rig.answerAll([&](Line& line, const std::string&) {
+    ++open;
+    most = std::max(most, open);
+    line.say(pg::error("XX000", "ERROR") + pg::ready());
+    --open;
+  });
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask(request("any", "1"));
+  ASSERT_TRUE(client.answered());
+  EXPECT_EQ(most, 1U);
+  EXPECT_GE(rig.statements().size(), 2U);
+}
+
+// Guards requests against a machine that vanished: its connections never come up, and others serve.
+TEST(GatewayMembers, ThatVanishedAreNoticedByTheConnectLimit) {
+  GatewayOptions options;
+  options.connectTimeoutMs = 250;
+  GatewayRig rig(options);
+  rig.members[1]->welcomes = rig.members[2]->welcomes = false;
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask(request("any", "1"));
+  ASSERT_TRUE(client.answered());
+  EXPECT_EQ(client.types(), "TDCZ");
+  EXPECT_GE(rig.outcomes(Outcome::ConnectFailed), 1U);
+}
+
+// Guards against an idle connection that its member has closed, or spoken on, unnoticed.
+TEST(GatewayMembers, ThatCloseAnIdleConnectionCostNoRequest) {
+  GatewayRig rig;
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask(request("save", "1"));
+  ASSERT_TRUE(client.answered());
+  for (auto& member : rig.members) {
+    for (auto& line : member->lines) line->hangUp();
+  }
+  client.ask(request("save", "2"));
+  ASSERT_TRUE(client.answered(2));
+  EXPECT_EQ(client.types(), "TDCZTDCZ");
+  for (auto& line : rig.members[0]->lines) {
+    if (!line->stream.closed()) line->say(pg::row("stray"));
+  }
+  client.ask(request("save", "3"));
+  ASSERT_TRUE(client.answered(3));
+  EXPECT_EQ(client.value(2), "from " + rig.members[0]->address());
+  EXPECT_EQ(rig.outcomes(Outcome::Reset), 0U);
+  EXPECT_GE(rig.counters().connectionsStale, 2U);
+}
+
+TEST(GatewayMembers, ConnectionsAreUsedAgainAndRetiredInTime) {
+  GatewayOptions options;
+  options.connectTimeoutMs = 100;
+  options.idleMs = 800;
+  GatewayRig rig(options, 1);
+  ClientStandIn client(rig.loop, rig.endpoint);
+  for (std::size_t i = 0; i < 10; ++i) {
+    client.ask(request("save", std::to_string(i)));
+    ASSERT_TRUE(client.answered(i + 1));
+  }
+  EXPECT_GE(rig.counters().connectionsReused, 9U);
+  EXPECT_TRUE(rig.until([&] { return rig.members[0]->openLines() == 0; }));
+  EXPECT_GE(rig.counters().connectionsRetired, 1U);
+}
+
+TEST(GatewayMembers, AnAnswerThatMakesNoSenseIsNoAnswer) {
+  GatewayRig rig;
+  rig.members[1]->answer =
+      rig.members[2]->answer = [](Line& line, const std::string&) { line.say("utter nonsense"); };
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask(request("any", "1"));
+  ASSERT_TRUE(client.answered());
+  EXPECT_EQ(client.types(), "TDCZ");
+  EXPECT_GE(rig.counters().memberProtocolErrors, 1U);
+}
+
+TEST(GatewayDiscovery, IsWatchedFromTheKnownListOn) {
+  GatewayRig rig({}, 2);
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.waiting != nullptr; }));
+  EXPECT_EQ(rig.discovery.calls[0], "GET /v1/endpoints?since=1&timeout_ms=1 HTTP/1.1");
+  EXPECT_EQ(rig.discovery.calls[1].substr(0, 37), "GET /v1/endpoints?since=1&timeout_ms=");
+  // The replica drains: reads go to the primary from then on.
+  rig.discovery.tell("[" + entry("m1", rig.members[1]->address(), false, "Terminating") + "]");
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.waiting != nullptr; }));
+  EXPECT_EQ(rig.discovery.calls.back().substr(0, 27), "GET /v1/endpoints?since=2&t");
+  ClientStandIn client(rig.loop, rig.endpoint);
+  for (std::size_t i = 0; i < 5; ++i) {
+    client.ask(request("any", std::to_string(i)));
+    ASSERT_TRUE(client.answered(i + 1));
+  }
+  EXPECT_TRUE(rig.members[1]->statements.empty());
+  EXPECT_EQ(rig.members[0]->statements.size(), 5U);
+}
+
+TEST(GatewayDiscovery, AMemberThatMovesKeepsWhoItIs) {
+  GatewayRig rig({}, 1);
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask(request("save", "1"));
+  ASSERT_TRUE(client.answered());
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.waiting != nullptr; }));
+  MemberStandIn moved(rig.loop, kLoopback + 9);
+  moved.primary = true;
+  rig.discovery.tell("[" + entry("m0", moved.address(), true) + "]");
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.waiting != nullptr; }));
+  client.ask(request("save", "2"));
+  ASSERT_TRUE(client.answered(2));
+  EXPECT_EQ(moved.statements.size(), 1U);
+  EXPECT_TRUE(rig.until([&] { return rig.members[0]->openLines() == 0; }));
+}
+
+TEST(GatewayDiscovery, FailuresLeaveTheListAndAreAskedAgain) {
+  GatewayRig rig;
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.waiting != nullptr; }));
+  rig.discovery.shut();
+  ASSERT_TRUE(rig.until([&] { return rig.counters().discoveryFailures >= 1; }));
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask(request("any", "1"));
+  ASSERT_TRUE(client.answered());
+  EXPECT_EQ(client.types(), "TDCZ");
+  rig.discovery.waiting = nullptr;
+  rig.discovery.fails = true;
+  rig.discovery.reopen();
+  const std::size_t before = rig.discovery.calls.size();
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.calls.size() > before; }));
+  rig.discovery.fails = false;
+  EXPECT_TRUE(rig.until([&] { return rig.discovery.waiting != nullptr; }));
+}
+
+TEST(GatewayDiscovery, MalformedBodiesAreFailuresAndNoMore) {
+  GatewayRig rig;
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.waiting != nullptr; }));
+  Line* line = std::exchange(rig.discovery.waiting, nullptr);
+  line->say(DiscoveryStandIn::response("{\"revision\":"));
+  ASSERT_TRUE(rig.until([&] { return rig.counters().discoveryFailures == 1; }));
+  EXPECT_TRUE(rig.until([&] { return rig.discovery.waiting != nullptr; }));
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask(request("any", "1"));
+  EXPECT_TRUE(client.answered());
+}
+
+// Guards against a tight loop with a service that answers every watch at once.
+TEST(GatewayDiscovery, ThatNeverWaitsIsNotAskedWithoutPause) {
+  GatewayRig rig;
+  rig.discovery.holds = false;
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.calls.size() >= 3; }));
+  ClientStandIn client(rig.loop, rig.endpoint);
+  std::size_t asked = 0;
+  const std::size_t before = rig.discovery.calls.size();
+  while (rig.discovery.calls.size() < before + 3) {
+    client.ask(request("any", std::to_string(asked)));
+    ASSERT_TRUE(client.answered(++asked));
+  }
+  // Between two calls there was room for other work.
+  EXPECT_GT(asked, 0U);
+}
+
+// Guards the descriptor limit: members keep their part, and clients beyond theirs are told.
+TEST(GatewayLimits, ClientsBeyondTheDescriptorsAreToldSo) {
+  GatewayOptions options;
+  options.sockets = 100;  // less what is kept back: 60, of which half for clients
+  GatewayRig rig(options);
+  rig.answerAll([](Line&, const std::string&) {});
+  std::vector<std::unique_ptr<ClientStandIn>> clients;
+  for (int i = 0; i < 30; ++i) {
+    clients.push_back(std::make_unique<ClientStandIn>(rig.loop, rig.endpoint));
+    clients.back()->ask(request("any", std::to_string(i)));
+  }
+  ASSERT_TRUE(rig.until([&] { return rig.counters().requestsTaken == 30; }));
+  ClientStandIn extra(rig.loop, rig.endpoint);
+  extra.ask(request("any", "extra"));
+  EXPECT_TRUE(extra.gone());
+  EXPECT_EQ(extra.code(), "53300");
+  EXPECT_EQ(rig.counters().clientsTurnedAway, 1U);
+  EXPECT_EQ(rig.counters().requestsTaken, 30U);
+  EXPECT_LE(rig.counters().descriptorsPeak, 100U);
+}
+
+TEST(GatewayLimits, AnIdleClientGivesWayToANewOne) {
+  GatewayOptions options;
+  options.sockets = 100;
+  GatewayRig rig(options);
+  std::vector<std::unique_ptr<ClientStandIn>> clients;
+  for (int i = 0; i < 30; ++i) {
+    clients.push_back(std::make_unique<ClientStandIn>(rig.loop, rig.endpoint));
+    clients.back()->ask(request("any", std::to_string(i)));
+    ASSERT_TRUE(clients.back()->answered());
+  }
+  ClientStandIn extra(rig.loop, rig.endpoint);
+  extra.ask(request("any", "extra"));
+  EXPECT_TRUE(extra.answered());
+  EXPECT_EQ(extra.types(), "TDCZ");
+  EXPECT_TRUE(clients[0]->gone());
+  EXPECT_EQ(rig.counters().clientsTurnedAway, 0U);
+}
+
+// Guards memory and other clients against one that never reads.
+TEST(GatewayLimits, ASlowReaderHoldsUpNobodyElse) {
+  GatewayRig rig;
+  rig.answerAll(
+      [&](Line& line, const std::string&) { line.say(rig.members[0]->value(std::string(60'000, 'v'))); });
+  ClientStandIn slow(rig.loop, rig.endpoint);
+  slow.line().deaf = true;
+  std::string many;
+  for (int i = 0; i < 400; ++i) many += pg::query(request("any", "s" + std::to_string(i)));
+  slow.say(many);
+  ClientStandIn quick(rig.loop, rig.endpoint);
+  for (std::size_t i = 0; i < 20; ++i) {
+    quick.ask(request("any", "q" + std::to_string(i)));
+    ASSERT_TRUE(quick.answered(i + 1));
+  }
+  EXPECT_GE(rig.counters().requestsServed, 20U);
+}
+
+TEST(GatewayEnd, LetsGoBetweenRequestsAndServesWhatIsOut) {
+  GatewayRig rig;
+  ClientStandIn idle(rig.loop, rig.endpoint);
+  idle.ask(request("any", "1"));
+  ASSERT_TRUE(idle.answered());
+  Line* held = nullptr;
+  rig.answerAll([&](Line& line, const std::string&) { held = &line; });
+  ClientStandIn busy(rig.loop, rig.endpoint);
+  busy.ask(request("any", "2"));
+  ASSERT_TRUE(rig.until([&] { return held != nullptr; }));
+  bool done = false;
+  rig.gateway->drain([&] { done = true; });
+  EXPECT_TRUE(idle.gone());
+  // New clients still come for a while and are served.
+  rig.answerAll([&](Line& line, const std::string&) { line.say(rig.members[0]->value("late")); });
+  ClientStandIn late(rig.loop, rig.endpoint);
+  late.ask(request("any", "3"));
+  EXPECT_TRUE(late.answered());
+  EXPECT_EQ(late.value(), "late");
+  EXPECT_TRUE(late.gone());
+  EXPECT_FALSE(done);
+  held->say(rig.members[0]->value("at last"));
+  ASSERT_TRUE(busy.answered());
+  EXPECT_EQ(busy.value(), "at last");
+  EXPECT_TRUE(rig.until([&] { return done; }));
+}
+
+}  // namespace
+}  // namespace heathflow::test
--- /dev/null
+++ b/tests/pg_client_test.cpp
@@ -0,0 +1,214 @@
+// The client side of the protocol: what members answer, in any pieces.
+#include "protocol/pg_client.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+#include <string>
+
+#include "pg_bytes.h"
+
+namespace heathflow::protocol {
+namespace {
+
+namespace pg = test::pg;
+using Event = PgClient::Event;
+using Kind = Answer::Kind;
+
+struct Member {
+  PgClient client;
+  std::string input;
+
+  Event feed(std::string_view bytes) {
+    input += bytes;
+    return client.feed(input);
+  }
+  void drop() {
+    input.erase(0, client.seen());
+    client.dropped();
+  }
+  // One that is up, with a query out.
+  void ask() {
+    EXPECT_EQ(feed(pg::welcome()), Event::Ready);
+    drop();
+    client.queried();
+  }
+  std::string_view of(const Slice& slice) const { return slice.of(input); }
+};
+
+TEST(PgClientStart, NamesUserAndDatabase) {
+  Buffer out(1024);
+  PgClient client;
+  ASSERT_TRUE(client.start(out));
+  EXPECT_EQ(out.view(), pg::startup());
+}
+
+TEST(PgClientStart, IsReadyHoweverTheWelcomeIsSplit) {
+  const std::string whole = pg::message('R', pg::u32(0)) + pg::message('K', pg::u32(1) + pg::u32(2)) +
+                            pg::message('N', "Sx" + std::string(2, '\0')) +
+                            pg::parameter("mode", "read-only") + pg::ready();
+  for (std::size_t at = 0; at < whole.size(); ++at) {
+    Member member;
+    ASSERT_EQ(member.feed(std::string_view(whole).substr(0, at)), Event::NeedMore) << at;
+    ASSERT_EQ(member.feed(std::string_view(whole).substr(at)), Event::Ready) << at;
+    ASSERT_TRUE(member.client.usable());
+  }
+}
+
+TEST(PgClientStart, TellsThatItWasTurnedDown) {
+  Member member;
+  EXPECT_EQ(member.feed(pg::error("53300", "FATAL")), Event::Rejected);
+  EXPECT_EQ(member.of(member.client.answer().code), "53300");
+  EXPECT_FALSE(member.client.usable());
+}
+
+TEST(PgClientStart, RefusesToGiveAPassword) {
+  Member member;
+  EXPECT_EQ(member.feed(pg::message('R', pg::u32(3))), Event::Broken);
+}
+
+TEST(PgClientAnswers, ARowIsKeptByteForByteHoweverItIsSplit) {
+  // A value that looks like messages of its own.
+  const std::string value = std::string("Z\0\0\0\5I", 6) + pg::complete() + "HTTP/1.1 200 OK\r\n\r\n";
+  const std::string whole = pg::rowDescription() + pg::message('N', std::string(1, '\0')) +
+                            pg::dataRow(value) + pg::complete() + pg::parameter("mode", "read-write") +
+                            pg::parameter("wal_time", "1767225600123") + pg::ready();
+  for (std::size_t at = 0; at < whole.size(); ++at) {
+    Member member;
+    member.ask();
+    ASSERT_EQ(member.feed(std::string_view(whole).substr(0, at)), Event::NeedMore) << at;
+    ASSERT_EQ(member.feed(std::string_view(whole).substr(at)), Event::Answered) << at;
+    const Answer& answer = member.client.answer();
+    ASSERT_EQ(answer.kind, Kind::Row);
+    ASSERT_EQ(member.of(answer.value), value);
+    ASSERT_EQ(member.of(answer.rowDescription), pg::rowDescription());
+    ASSERT_EQ(member.of(answer.dataRow), pg::dataRow(value));
+    ASSERT_EQ(member.of(answer.commandComplete), pg::complete());
+    ASSERT_EQ(answer.primary, true);
+    ASSERT_EQ(answer.positionMs, 1767225600123);
+    ASSERT_EQ(member.client.seen(), whole.size());
+    ASSERT_TRUE(member.client.usable());
+  }
+}
+
+TEST(PgClientAnswers, OneConnectionCarriesManyAndForgetsTheOneBefore) {
+  Member member;
+  member.ask();
+  ASSERT_EQ(member.feed(pg::row("one") + pg::parameter("mode", "read-only") +
+                        pg::parameter("stats", "x0=1,x1=0") + pg::ready()),
+            Event::Answered);
+  EXPECT_EQ(member.client.answer().primary, false);
+  EXPECT_EQ(member.of(member.client.answer().report), "x0=1,x1=0");
+  member.drop();
+  member.client.queried();
+  ASSERT_EQ(member.feed(pg::row("two") + pg::ready()), Event::Answered);
+  EXPECT_EQ(member.of(member.client.answer().value), "two");
+  EXPECT_EQ(member.client.answer().primary, std::nullopt);
+  EXPECT_TRUE(member.of(member.client.answer().report).empty());
+}
+
+TEST(PgClientAnswers, AnErrorTellsItsCode) {
+  Member member;
+  member.ask();
+  EXPECT_EQ(member.feed(pg::error("25006") + pg::parameter("mode", "read-only")), Event::NeedMore);
+  EXPECT_EQ(member.feed(pg::ready()), Event::Answered);
+  EXPECT_EQ(member.client.answer().kind, Kind::Error);
+  EXPECT_EQ(member.of(member.client.answer().code), "25006");
+  EXPECT_EQ(member.client.answer().primary, false);
+}
+
+TEST(PgClientAnswers, AFatalErrorIsWholeAtOnceAndEndsTheConnection) {
+  Member member;
+  member.ask();
+  EXPECT_EQ(member.feed(pg::error("XX000", "FATAL")), Event::Answered);
+  EXPECT_FALSE(member.client.usable());
+}
+
+TEST(PgClientAnswers, AreWholeAtTheEndOnceNothingCanChangeThem) {
+  Member member;
+  member.ask();
+  EXPECT_FALSE(member.client.wholeAtEnd());
+  member.feed(pg::rowDescription() + pg::dataRow("v"));
+  EXPECT_TRUE(member.client.answering());
+  EXPECT_FALSE(member.client.wholeAtEnd());
+  member.feed(pg::complete());
+  EXPECT_TRUE(member.client.wholeAtEnd());
+  EXPECT_EQ(member.client.answer().kind, Kind::Row);
+}
+
+// Guards a row against an error that only tells why the connection goes.
+TEST(PgClientAnswers, ARowStaysOneWhenTheMemberEndsBehindIt) {
+  Member member;
+  member.ask();
+  EXPECT_EQ(member.feed(pg::row("v") + pg::error("57P01", "FATAL")), Event::Answered);
+  EXPECT_EQ(member.client.answer().kind, Kind::Row);
+  EXPECT_FALSE(member.client.usable());
+}
+
+TEST(PgClientAnswers, WithoutAValueAreNoRow) {
+  Member member;
+  member.ask();
+  EXPECT_EQ(member.feed(pg::complete("SELECT 0") + pg::ready()), Event::Answered);
+  EXPECT_EQ(member.client.answer().kind, Kind::Empty);
+}
+
+// Guards the next request on the connection: bytes that nobody asked for are not its answer.
+TEST(PgClientAnswers, BytesThatNobodyAskedForBreakTheConnection) {
+  Member member;
+  EXPECT_EQ(member.feed(pg::welcome()), Event::Ready);
+  member.drop();
+  EXPECT_EQ(member.feed(pg::row("stray")), Event::Broken);
+}
+
+TEST(PgClientAnswers, OutOfOrderOrOfTheWrongShapeBreakTheConnection) {
+  const std::string twoColumns = pg::message('T', pg::u16(2));
+  const std::string wrongCount = pg::message('D', pg::u16(2) + pg::u32(0) + pg::u32(0));
+  const std::string wrongSize = pg::message('D', pg::u16(1) + pg::u32(9) + "short");
+  for (const std::string& bytes :
+       {pg::ready(), pg::dataRow("first"), twoColumns, pg::rowDescription() + wrongCount,
+        pg::rowDescription() + wrongSize, pg::rowDescription() + pg::rowDescription(),
+        pg::rowDescription() + pg::dataRow("a") + pg::dataRow("b"), pg::row("a") + pg::row("b"),
+        pg::message('G', ""), "T" + pg::u32(2), "D" + pg::u32(1 << 30)}) {
+    Member member;
+    member.ask();
+    EXPECT_EQ(member.feed(bytes), Event::Broken) << bytes;
+    EXPECT_FALSE(member.client.usable());
+  }
+}
+
+TEST(PgClientAnswers, PositionsThatAreNoNumbersAreSkipped) {
+  for (const char* value : {"", "soon", "12x", "-5", "99999999999999999999"}) {
+    Member member;
+    member.ask();
+    EXPECT_EQ(member.feed(pg::row("v") + pg::parameter("wal_time", value) + pg::ready()), Event::Answered);
+    EXPECT_EQ(member.client.answer().positionMs, std::nullopt) << value;
+  }
+}
+
+TEST(PgClientAnswers, SurviveMutatedInput) {
+  const std::string whole = pg::row("a value") + pg::parameter("mode", "read-only") +
+                            pg::parameter("wal_time", "1767225600123") + pg::ready();
+  std::mt19937 random(11);
+  std::size_t broken = 0;
+  std::size_t rows = 0;
+  for (int round = 0; round < 3000; ++round) {
+    std::string bytes = whole;
+    for (int i = 0; i < 1 + round % 3; ++i) bytes[random() % bytes.size()] = static_cast<char>(random());
+    Member member;
+    member.ask();
+    const Event event = member.feed(bytes);
+    broken += event == Event::Broken ? 1 : 0;
+    ASSERT_LE(member.client.seen(), bytes.size());
+    if (event != Event::Answered || member.client.answer().kind != Kind::Row) continue;
+    ++rows;
+    const Answer& answer = member.client.answer();
+    for (const Slice& slice : {answer.rowDescription, answer.dataRow, answer.commandComplete, answer.value}) {
+      ASSERT_LE(slice.at + slice.size, bytes.size());
+    }
+  }
+  EXPECT_GT(broken, 0U);
+  EXPECT_GT(rows, 0U);
+}
+
+}  // namespace
+}  // namespace heathflow::protocol
--- /dev/null
+++ b/tests/standins.h
@@ -0,0 +1,279 @@
+// Small stand-ins for members, discovery and clients, as PROTOCOL describes them, on loopback and one loop.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "loopback.h"
+#include "pg_bytes.h"
+#include "transport/event_loop.h"
+#include "transport/socket.h"
+#include "transport/stream.h"
+
+namespace heathflow::test {
+
+constexpr std::uint32_t kLoopback = 0x7F000001;
+
+// One accepted or opened connection that gathers what comes in.
+class Line : public transport::StreamOwner {
+ public:
+  using OnInput = std::function<void(Line&)>;
+  Line(transport::EventLoop& loop, OnInput onInput)
+      : onInput_(std::move(onInput)), stream(loop, *this, {8 << 20, 8 << 20}) {}
+
+  void say(std::string_view bytes) {
+    stream.output().append(bytes);
+    stream.flush();
+  }
+  void hangUp() { stream.close(); }
+  std::string take() {
+    std::string out = std::move(got);
+    got.clear();
+    return out;
+  }
+
+  std::string got;
+  bool ended = false;
+
+ private:
+  void onInput() override {
+    if (deaf) return;
+    got += stream.input().view();
+    stream.input().consume(stream.input().size());
+    if (onInput_) onInput_(*this);
+  }
+  void onEnd(transport::StreamEnd) override { ended = true; }
+  OnInput onInput_;
+
+ public:
+  bool deaf = false;
+  bool started = false;
+  std::size_t queries = 0;
+  transport::Stream stream;
+};
+
+// Listens on an ephemeral port and hands on what its connections say.
+class Listening : private transport::IoHandler {
+ public:
+  explicit Listening(transport::EventLoop& loop, std::uint32_t address = kLoopback) : loop_(loop) {
+    open({address, 0});
+  }
+  ~Listening() override { shut(); }
+
+  const transport::Endpoint& endpoint() const { return endpoint_; }
+  std::string address() const { return toText(endpoint_); }
+  // The process is gone: connections reset, new ones refused.
+  void shut() {
+    if (!listener_) return;
+    loop_.unwatch(listener_.get(), *this);
+    listener_.reset();
+    for (auto& line : lines) line->hangUp();
+  }
+  void reopen() { open(endpoint_); }
+  std::size_t openLines() const {
+    std::size_t count = 0;
+    for (const auto& line : lines) count += !line->ended && !line->stream.closed() ? 1 : 0;
+    return count;
+  }
+
+  std::list<std::unique_ptr<Line>> lines;
+
+ protected:
+  virtual void onLineInput(Line& line) = 0;
+
+ private:
+  void open(const transport::Endpoint& endpoint) {
+    transport::Opened opened = transport::listenOn(endpoint, 128);
+    if (!opened.fd) throw std::runtime_error("a stand-in can't listen");
+    listener_ = std::move(opened.fd);
+    endpoint_ = *transport::boundTo(listener_.get());
+    loop_.watch(listener_.get(), *this);
+  }
+  void onReady(std::uint32_t) override {
+    for (;;) {
+      transport::Opened opened = transport::acceptFrom(listener_.get());
+      if (!opened.fd) return;
+      lines.push_back(std::make_unique<Line>(loop_, [this](Line& line) { onLineInput(line); }));
+      lines.back()->stream.adopt(std::move(opened.fd));
+    }
+  }
+
+  transport::EventLoop& loop_;
+  transport::UniqueFd listener_;
+  transport::Endpoint endpoint_;
+};
+
+// A member. Unless told otherwise it welcomes at once, answers probes, and gives each statement a value.
+class MemberStandIn final : public Listening {
+ public:
+  using Listening::Listening;
+  using Answer = std::function<void(Line& line, const std::string& statement)>;
+
+  static std::string news(bool primary, std::int64_t positionMs = 0) {
+    std::string out = pg::parameter("mode", primary ? "read-write" : "read-only");
+    if (positionMs != 0) out += pg::parameter("wal_time", std::to_string(positionMs));
+    return out;
+  }
+  std::string value(std::string_view text) const { return pg::row(text) + news(primary) + pg::ready(); }
+
+  bool primary = false;
+  bool welcomes = true;
+  std::int64_t lagMs = 0;
+  Answer answer = [this](Line& line, const std::string&) { line.say(value("from " + address())); };
+  Answer probe = [this](Line& line, const std::string&) {
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+                         std::chrono::system_clock::now().time_since_epoch())
+                         .count() -
+                     lagMs;
+    const std::string millis = std::to_string(1000 + now % 1000).substr(1);
+    line.say(pg::row("x0=" + std::to_string(now / 1000) + "." + millis + ",x1=" + (primary ? "1" : "0")) +
+             pg::ready());
+  };
+  std::vector<std::string> statements;  // without probes
+  std::size_t probes = 0;
+
+ private:
+  void onLineInput(Line& line) override {
+    if (!welcomes) return;
+    if (!line.started) {
+      if (line.got.size() < pg::startup().size()) return;
+      line.got.erase(0, pg::startup().size());
+      line.started = true;
+      line.say(pg::welcome());
+    }
+    for (const auto& message : pg::cut(line.got)) {
+      if (message.type != 'Q') continue;
+      const std::string statement = message.body.substr(0, message.body.size() - 1);
+      ++line.queries;
+      if (statement == "SHOW stats") {
+        ++probes;
+        probe(line, statement);
+      } else {
+        statements.push_back(statement);
+        answer(line, statement);
+      }
+    }
+  }
+};
+
+// Discovery. Answers the whole list, holds watches until something is told.
+class DiscoveryStandIn final : public Listening {
+ public:
+  using Listening::Listening;
+
+  std::string members = "[]";
+  std::int64_t revision = 1;
+  std::vector<std::string> calls;
+  bool fails = false;  // every call ends with 503
+  bool holds = true;   // a watch waits
+  Line* waiting = nullptr;
+
+  static std::string response(const std::string& body, int status = 200) {
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+  }
+  std::string document(bool complete, const std::string& entries) const {
+    return "{\"revision\":" + std::to_string(revision) + ",\"complete\":" + (complete ? "true" : "false") +
+           ",\"members\":" + entries + "}";
+  }
+  // Tells the watch that waits.
+  void tell(const std::string& entries) {
+    ++revision;
+    Line* line = std::exchange(waiting, nullptr);
+    line->say(response(document(false, entries)));
+  }
+
+ private:
+  void onLineInput(Line& line) override {
+    for (;;) {
+      const std::size_t end = line.got.find("\r\n\r\n");
+      if (end == std::string::npos) return;
+      const std::string call = line.got.substr(0, line.got.find("\r\n"));
+      line.got.erase(0, end + 4);
+      calls.push_back(call);
+      if (fails) {
+        line.say(response("", 503));
+      } else if (call.find("since=") == std::string::npos) {
+        line.say(response(document(true, members)));
+      } else if (call.find("timeout_ms=1 ") != std::string::npos || !holds) {
+        line.say(response(document(false, "[]")));
+      } else {
+        waiting = &line;
+      }
+    }
+  }
+};
+
+// A client's connection.
+class ClientStandIn {
+ public:
+  ClientStandIn(transport::EventLoop& loop, const transport::Endpoint& gateway, bool startup = true)
+      : loop_(loop), line_(loop, nullptr) {
+    int error = 0;
+    if (!line_.stream.connect(gateway, error)) throw std::runtime_error("the gateway can't be reached");
+    if (!until(loop_, [&] { return line_.stream.open() || line_.ended; }) || line_.ended) {
+      throw std::runtime_error("the gateway does not take the connection");
+    }
+    if (startup) say(pg::startup());
+    if (startup && !until(loop_, [&] { return messages().size() > before_ && last().type == 'Z'; })) {
+      throw std::runtime_error("the gateway does not welcome");
+    }
+    forget();
+  }
+
+  void say(std::string_view bytes) { line_.say(bytes); }
+  void ask(std::string_view statement) { say(pg::query(statement)); }
+  const std::vector<pg::Message>& messages() {
+    for (auto& message : pg::cut(line_.got)) messages_.push_back(std::move(message));
+    return messages_;
+  }
+  const pg::Message& last() { return messages().back(); }
+  void forget() {
+    messages();
+    messages_.clear();
+  }
+  // Waits for so many whole answers.
+  bool answered(std::size_t count = 1) {
+    return until(loop_, [&] {
+      std::size_t ready = 0;
+      for (const auto& message : messages()) ready += message.type == 'Z' ? 1 : 0;
+      return ready >= count;
+    });
+  }
+  bool gone() {
+    return until(loop_, [&] { return line_.ended; });
+  }
+  bool ended() const { return line_.ended; }
+  std::string types() {
+    std::string out;
+    for (const auto& message : messages()) out += message.type;
+    return out;
+  }
+  // Of the first error.
+  std::string code() {
+    for (const auto& message : messages()) {
+      if (message.type == 'E') return pg::field(message.body, 'C');
+    }
+    return "";
+  }
+  std::string value(std::size_t number = 0) {
+    for (const auto& message : messages()) {
+      if (message.type == 'D' && number-- == 0) return message.body.substr(6);
+    }
+    return "";
+  }
+  void hangUp() { line_.hangUp(); }
+  Line& line() { return line_; }
+
+ private:
+  transport::EventLoop& loop_;
+  Line line_;
+  std::size_t before_ = 0;
+  std::vector<pg::Message> messages_;
+};
+
+}  // namespace heathflow::test
--- /dev/null
+++ b/tests/transport_test.cpp
@@ -0,0 +1,231 @@
+// Buffers, the clock, the loop and streams over loopback.
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+
+#include <memory>
+#include <string>
+
+#include "loopback.h"
+#include "transport/buffer.h"
+#include "transport/clock.h"
+#include "transport/event_loop.h"
+#include "transport/stream.h"
+
+namespace heathflow::transport {
+namespace {
+
+using test::until;
+
+TEST(BufferQueue, KeepsWhatIsNotConsumedInOrder) {
+  Buffer buffer(64 * 1024);
+  std::string expected;
+  std::size_t next = 0;
+  for (int round = 0; round < 2000; ++round) {
+    const std::string piece(1 + static_cast<std::size_t>(round) % 97, static_cast<char>('a' + round % 26));
+    ASSERT_TRUE(buffer.append(piece));
+    expected += piece;
+    const std::size_t drop = std::min<std::size_t>(buffer.size(), static_cast<std::size_t>(round) % 89);
+    buffer.consume(drop);
+    next += drop;
+    ASSERT_EQ(buffer.view(), std::string_view(expected).substr(next));
+  }
+}
+
+TEST(BufferQueue, TakesNothingBeyondItsLimit) {
+  Buffer buffer(100);
+  EXPECT_TRUE(buffer.append(std::string(60, 'x')));
+  EXPECT_FALSE(buffer.append(std::string(41, 'y')));
+  EXPECT_EQ(buffer.size(), 60U);
+  EXPECT_TRUE(buffer.append(std::string(40, 'z')));
+  EXPECT_TRUE(buffer.full());
+  EXPECT_EQ(buffer.room().size, 0U);
+  buffer.consume(10);
+  EXPECT_EQ(buffer.room().size, 10U);
+}
+
+// Guards the memory of a process with many connections that each carried something large once.
+TEST(BufferQueue, GivesBackWhatALargeMessageNeeded) {
+  Buffer buffer(256 * 1024);
+  ASSERT_TRUE(buffer.append(std::string(200 * 1024, 'x')));
+  EXPECT_GE(buffer.capacity(), 200U * 1024);
+  buffer.consume(200 * 1024);
+  EXPECT_LE(buffer.capacity(), 16U * 1024);
+}
+
+TEST(ClockReadings, FollowTheWallForwardsAndNeverRunBack) {
+  Clock clock;
+  EXPECT_EQ(clock.follow(1000, 5'000'000), 5'000'000);
+  EXPECT_EQ(clock.follow(2000, 5'001'000), 5'001'000);
+  // Set back by four seconds: time goes on as the steady clock does.
+  EXPECT_EQ(clock.follow(3000, 1'002'000), 5'002'000);
+  EXPECT_EQ(clock.follow(4000, 1'003'000), 5'003'000);
+  // Set forward: followed, so that data is not taken for younger than it is.
+  EXPECT_EQ(clock.follow(5000, 9'000'000), 9'000'000);
+}
+
+TEST(LoopTimers, RunInOrderAndNotOnceDisarmed) {
+  EventLoop loop;
+  std::string ran;
+  Timer second(loop, [&] { ran += 'b'; });
+  Timer first(loop, [&] { ran += 'a'; });
+  Timer never(loop, [&] { ran += 'x'; });
+  second.arm(loop.now() + 2000);
+  first.arm(loop.now() + 1000);
+  never.arm(loop.now() + 1500);
+  never.disarm();
+  EXPECT_TRUE(until(loop, [&] { return ran.size() >= 2; }));
+  EXPECT_EQ(ran, "ab");
+}
+
+TEST(LoopTimers, MayBeArmedAgainByTheirOwnAction) {
+  EventLoop loop;
+  int left = 3;
+  Timer* self = nullptr;
+  Timer timer(loop, [&] {
+    if (--left > 0) self->arm(loop.now());
+  });
+  self = &timer;
+  timer.arm(loop.now());
+  EXPECT_TRUE(until(loop, [&] { return left == 0; }));
+  EXPECT_FALSE(timer.armed());
+}
+
+struct Peer : StreamOwner {
+  explicit Peer(EventLoop& loop, Stream::Limits limits = {1 << 20, 1 << 20}) : stream(loop, *this, limits) {}
+  void onOpen() override { opened = true; }
+  void onInput() override {
+    if (throws) throw std::runtime_error("a fault in the owner");
+    if (keep) return;
+    got += stream.input().view();
+    stream.input().consume(stream.input().size());
+  }
+  void onDrained() override { ++drained; }
+  void onEnd(StreamEnd how) override {
+    ended = true;
+    end = how;
+  }
+  bool opened = false;
+  bool keep = false;
+  bool throws = false;
+  bool ended = false;
+  int drained = 0;
+  StreamEnd end = StreamEnd::Closed;
+  std::string got;
+  Stream stream;
+};
+
+struct Pair {
+  explicit Pair(EventLoop& loop, Stream::Limits limits = {1 << 20, 1 << 20})
+      : a(loop, limits), b(loop, limits) {
+    int fds[2] = {-1, -1};
+    EXPECT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, fds), 0);
+    EXPECT_TRUE(a.stream.adopt(UniqueFd(fds[0])));
+    EXPECT_TRUE(b.stream.adopt(UniqueFd(fds[1])));
+  }
+  Peer a;
+  Peer b;
+};
+
+TEST(Streams, CarryMoreThanTheKernelHoldsAtOnce) {
+  EventLoop loop;
+  Pair pair(loop);
+  std::string sent;
+  for (int i = 0; sent.size() < 900'000; ++i) sent += std::to_string(i);
+  ASSERT_TRUE(pair.a.stream.output().append(sent));
+  pair.a.stream.flush();
+  EXPECT_TRUE(until(loop, [&] { return pair.b.got.size() >= sent.size(); }));
+  EXPECT_EQ(pair.b.got, sent);
+  EXPECT_TRUE(pair.a.stream.output().empty());
+  EXPECT_GE(pair.a.drained, 1);
+}
+
+// Guards edge-triggered reading: what is left in the socket when the input is full gets no second edge.
+TEST(Streams, ReadOnAfterAFullInputWasEmptied) {
+  EventLoop loop;
+  Pair pair(loop, {2000, 1 << 20});
+  pair.b.keep = true;
+  const std::string sent(5000, 'q');
+  ASSERT_TRUE(pair.a.stream.output().append(sent));
+  pair.a.stream.flush();
+  EXPECT_TRUE(until(loop, [&] { return pair.b.stream.input().full(); }));
+  std::size_t got = 0;
+  EXPECT_TRUE(until(loop, [&] {
+    got += pair.b.stream.input().size();
+    pair.b.stream.input().consume(pair.b.stream.input().size());
+    pair.b.stream.resume();
+    return got >= sent.size();
+  }));
+  EXPECT_EQ(got, sent.size());
+}
+
+TEST(Streams, TellWhatCameBeforeTheEndAndThenTheEnd) {
+  EventLoop loop;
+  Pair pair(loop);
+  ASSERT_TRUE(pair.a.stream.output().append("last words"));
+  pair.a.stream.flush();
+  pair.a.stream.close();
+  EXPECT_TRUE(until(loop, [&] { return pair.b.ended; }));
+  EXPECT_EQ(pair.b.got, "last words");
+  EXPECT_EQ(pair.b.end, StreamEnd::Closed);
+  EXPECT_TRUE(pair.b.stream.closed());
+}
+
+// Guards the process: a fault in the handling of one connection ends that connection and no other.
+TEST(Streams, EndWhenTheirOwnerThrows) {
+  EventLoop loop;
+  Pair bad(loop);
+  Pair good(loop);
+  bad.b.throws = true;
+  ASSERT_TRUE(bad.a.stream.output().append("x"));
+  bad.a.stream.flush();
+  EXPECT_TRUE(until(loop, [&] { return bad.b.ended; }));
+  EXPECT_EQ(bad.b.end, StreamEnd::Failed);
+  ASSERT_TRUE(good.a.stream.output().append("y"));
+  good.a.stream.flush();
+  EXPECT_TRUE(until(loop, [&] { return good.b.got == "y"; }));
+}
+
+// Guards an idle connection that its peer has closed, or spoken on, since it was last used.
+TEST(Streams, AreQuietOnlyWhileNothingHasComeIn) {
+  EventLoop loop;
+  Pair spoken(loop);
+  Pair closed(loop);
+  EXPECT_TRUE(spoken.b.stream.quiet());
+  ASSERT_TRUE(spoken.a.stream.output().append("!"));
+  spoken.a.stream.flush();
+  EXPECT_FALSE(spoken.b.stream.quiet());
+  EXPECT_TRUE(closed.b.stream.quiet());
+  closed.a.stream.close();
+  EXPECT_FALSE(closed.b.stream.quiet());
+}
+
+TEST(Streams, TellARefusedConnection) {
+  EventLoop loop;
+  Opened listener = listenOn({0x7F000001, 0}, 1);
+  ASSERT_TRUE(listener.fd);
+  const auto endpoint = boundTo(listener.fd.get());
+  ASSERT_TRUE(endpoint);
+  listener.fd.reset();
+  Peer peer(loop);
+  int error = 0;
+  // The system may say so at once or a little later.
+  if (peer.stream.connect(*endpoint, error)) {
+    EXPECT_TRUE(until(loop, [&] { return peer.ended; }));
+    EXPECT_EQ(peer.end, StreamEnd::NotConnected);
+  } else {
+    EXPECT_EQ(error, ECONNREFUSED);
+  }
+  EXPECT_FALSE(peer.opened);
+}
+
+TEST(Endpoints, AreReadStrictly) {
+  EXPECT_EQ(parseEndpoint("127.0.0.1:5432"), (Endpoint{0x7F000001, 5432}));
+  EXPECT_EQ(toText({0x7F000001, 5432}), "127.0.0.1:5432");
+  for (const char* text :
+       {"", "127.0.0.1", "127.0.0.1:", "127.0.0.1:70000", "host:5432", "127.0.0.1:12x", ":1"}) {
+    EXPECT_FALSE(parseEndpoint(text)) << text;
+  }
+}
+
+}  // namespace
+}  // namespace heathflow::transport
