Clients that never read are let go; a full table of our own is not a member's fault

Found by reading: an answer that its client never takes kept a descriptor for ever, and a probe that could not start for want of our own descriptors counted as the member's failure. Both have tests or a counter now; the log takes its clock from outside so that its test needs none. An early answer of discovery is told by its revision.

--- a/src/program/counters.cpp
+++ b/src/program/counters.cpp
@@ -48,6 +48,7 @@
   addGroup(out, "clients",
            {{"accepted", c.clientsAccepted},
             {"turned_away", c.clientsTurnedAway},
+            {"not_reading", c.clientsNotReading},
             {"protocol_errors", c.clientProtocolErrors}});
   addGroup(out, "members",
            {{"opened", c.connectionsOpened},
--- a/src/program/log.cpp
+++ b/src/program/log.cpp
@@ -11,14 +11,19 @@
 
 }  // namespace
 
+Log::Log()
+    : Log([] {
+        using std::chrono::seconds;
+        return std::chrono::duration_cast<seconds>(std::chrono::steady_clock::now().time_since_epoch())
+            .count();
+      }) {}
+
 void logLine(const std::string& text) { std::fprintf(stderr, "heathflow: %s\n", text.c_str()); }
 
 void Log::note(routing::Topic topic, const std::string& text) {
   const auto index = static_cast<std::size_t>(topic);
   Bucket& bucket = buckets_[index];
-  const std::int64_t second =
-      std::chrono::duration_cast<std::chrono::seconds>(std::chrono::steady_clock::now().time_since_epoch())
-          .count();
+  const std::int64_t second = seconds_();
   if (bucket.second != second) {
     const std::uint64_t dropped = bucket.dropped;
     bucket = Bucket{second, 0, 0};
--- a/src/program/log.h
+++ b/src/program/log.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <string>
 
 #include "routing/observer.h"
@@ -14,6 +15,10 @@
 
 class Log final : public routing::Observer {
  public:
+  using Seconds = std::function<std::int64_t()>;
+  Log();
+  explicit Log(Seconds seconds) : seconds_(std::move(seconds)) {}
+
   // Guards the disk and the CPU of a process in trouble: the rest of a second's lines are only counted.
   void note(routing::Topic topic, const std::string& text) override;
 
@@ -23,6 +28,7 @@
     unsigned lines = 0;
     std::uint64_t dropped = 0;
   };
+  Seconds seconds_;
   std::array<Bucket, 4> buckets_{};
 };
 
--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -15,7 +15,7 @@
 // One message and what may be pipelined behind it; one answer and what stands around it.
 constexpr transport::Stream::Limits kLimits = {protocol::kClientMessageLimit + 4 * 1024,
                                                protocol::kMemberAnswerLimit + 16 * 1024};
-// How long a client that was told off may take to read it.
+// How long a client may take to read what it no longer waits for: its last answer, or that it was told off.
 constexpr Micros kFarewell = 1'000'000;
 // Beyond this a client's patience is no time at all.
 constexpr std::int64_t kMostPatienceMs = 86'400'000;
@@ -30,7 +30,10 @@
       classes_(classes),
       observer_(observer),
       stream_(loop, *this, kLimits),
-      farewell_(loop, [this] { over(); }) {}
+      farewell_(loop, [this] {
+        if (!stream_.output().empty()) ++observer_.counters.clientsNotReading;
+        over();
+      }) {}
 
 ClientSession::~ClientSession() = default;
 
@@ -43,6 +46,7 @@
 
 void ClientSession::onDrained() {
   if (ending_) return stream_.endSending();
+  farewell_.disarm();
   process();
 }
 
@@ -129,6 +133,7 @@
   }
   busy_ = true;
   request_ = 0;
+  deadline_ = request.deadline;
   router_.submit(*this, request, comment->patience, request_);
 }
 
@@ -166,6 +171,8 @@
   busy_ = false;
   owner_.onSessionResting(*this);
   stream_.flush();
+  // Guards descriptors against clients that never read: once they have stopped waiting the connection ends.
+  if (!stream_.output().empty()) farewell_.arm(std::max(loop_.now(), deadline_) + kFarewell);
   process();
 }
 
--- a/src/routing/client_session.h
+++ b/src/routing/client_session.h
@@ -63,12 +63,13 @@
   const ClassIndex& classes_;
   Observer& observer_;
   transport::Stream stream_;
-  transport::Timer farewell_;
+  transport::Timer farewell_;  // the connection ends then, whatever is unread
   protocol::PgServer server_;
   Micros readAt_ = 0;  // when the last bytes came
   RequestId request_ = 0;
   std::size_t requestSize_ = 0;  // what its message takes at the front of the input
   protocol::Slice statement_;
+  Micros deadline_ = 0;      // of the request
   bool busy_ = false;        // a request has no answer yet
   bool processing_ = false;  // the input is being worked on further up the stack
   bool asked_ = false;
--- a/src/routing/directory.cpp
+++ b/src/routing/directory.cpp
@@ -62,8 +62,7 @@
     member.state = gone                           ? MemberState::Gone
                    : listed.phase == Phase::Ready ? MemberState::Ready
                                                   : MemberState::Draining;
-    member.zone =
-        zones_.try_emplace(listed.locality, static_cast<std::uint32_t>(zones_.size())).first->second;
+    member.zone = static_cast<std::uint32_t>(hashOf(listed.locality));
     member.launched = listed.upSinceMs * kMicrosPerMilli;
     member.size = listed.size;
     member.leads = listed.primary;
--- a/src/routing/directory.h
+++ b/src/routing/directory.h
@@ -30,7 +30,6 @@
   Observer& observer_;
   std::unordered_map<std::string, Known> byName_;
   std::unordered_map<MemberId, std::string> names_;
-  std::unordered_map<std::string, std::uint32_t> zones_;
 };
 
 }  // namespace heathflow::routing
--- a/src/routing/discovery_watch.cpp
+++ b/src/routing/discovery_watch.cpp
@@ -98,9 +98,9 @@
   limit_.disarm();
   if (!response_->keepAlive() || !stream_->input().empty()) stream_->close();
   response_.reset();
+  const bool news = list->revision != revision_;
   revision_ = list->revision;
-  const bool empty = !list->complete && list->members.empty();
-  const bool early = empty && loop_.now() - calledAt_ < watchFor_ / 2;
+  const bool early = !news && loop_.now() - calledAt_ < watchFor_ / 2;
   onList_(*list);
   if (calling_) return;
   if (early) {
--- a/src/routing/observer.h
+++ b/src/routing/observer.h
@@ -15,6 +15,7 @@
   std::uint64_t clientsAccepted = 0;
   std::uint64_t clientsTurnedAway = 0;
   std::uint64_t clientProtocolErrors = 0;
+  std::uint64_t clientsNotReading = 0;  // let go with output that they never took
   std::uint64_t requestsTaken = 0;
   std::uint64_t requestsServed = 0;
   std::uint64_t requestsRefused = 0;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -282,7 +282,18 @@
   ProbeState& state = *probes_.emplace(member, std::make_unique<ProbeState>(*this, member)).first->second;
   // A probe has no limit of its own in the settings: it gets that of a connection.
   state.limit.arm(loop_.now() + settings_.logic.connectTimeout);
-  if (pool_.start(member, state, state.connection) != MemberPool::Started::Yes) probeEnded(state, {});
+  switch (pool_.start(member, state, state.connection)) {
+    case MemberPool::Started::Yes:
+      return;
+    case MemberPool::Started::NoRoom: {
+      // Our own want of descriptors says nothing against the member.
+      ProbeEnded notNow;
+      notNow.turnedAway = true;
+      return probeEnded(state, notNow);
+    }
+    case MemberPool::Started::Unreachable:
+      return probeEnded(state, {});
+  }
 }
 
 void Router::probeEnded(ProbeState& probe, ProbeEnded event) {
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -207,6 +207,51 @@
   EXPECT_GE(rig.outcomes(Outcome::ConnectFailed), 1U);
 }
 
+// Guards drains, bounds and roles where a connection takes its time: what allowed a send may no longer hold.
+TEST(GatewayMembers, ThatDrainWhileAConnectionComesUpGetNothing) {
+  GatewayRig rig({}, 2);
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.waiting != nullptr; }));
+  rig.members[1]->welcomes = false;
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask(request("any", "1"));
+  ASSERT_TRUE(rig.until([&] { return rig.counters().attemptsMade == 1 && !rig.members[1]->lines.empty(); }));
+  rig.discovery.tell("[" + entry("m1", rig.members[1]->address(), false, "Terminating") + "]");
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.waiting != nullptr; }));
+  EXPECT_EQ(rig.counters().attemptsWritten, 0U);
+  rig.members[1]->welcomeNow();
+  ASSERT_TRUE(client.answered());
+  EXPECT_EQ(client.value(), "from " + rig.members[0]->address());
+  EXPECT_TRUE(rig.members[1]->statements.empty());
+  EXPECT_EQ(rig.outcomes(Outcome::NeverSent), 1U);
+}
+
+// Guards the record of a member that never came up: out of time before that, a request has never run.
+TEST(GatewayMembers, ARequestOutOfTimeBeforeItsConnectionIsUpIsRefused) {
+  GatewayRig rig({}, 1);
+  rig.members[0]->welcomes = false;
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask("SELECT 'k' /* id=1,c=save,d=300,cluster=0 */");
+  ASSERT_TRUE(client.answered());
+  EXPECT_EQ(client.code(), "53300") << "nothing of it was written";
+  EXPECT_EQ(rig.outcomes(Outcome::NeverSent), 1U);
+  EXPECT_TRUE(rig.members[0]->statements.empty());
+}
+
+TEST(GatewayMembers, ATimeOutClosesTheConnectionAndMayHaveRun) {
+  GatewayRig rig({}, 1);
+  rig.answerAll([](Line&, const std::string&) {});
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask("SELECT 'k' /* id=1,c=save,d=300,cluster=0 */");
+  ASSERT_TRUE(client.answered());
+  EXPECT_EQ(client.types(), "EZ");
+  EXPECT_NE(client.code(), "53300");
+  EXPECT_EQ(rig.outcomes(Outcome::TimedOut), 1U);
+  EXPECT_TRUE(rig.until([&] {
+    const auto& lines = rig.members[0]->lines;
+    return std::any_of(lines.begin(), lines.end(), [](auto& line) { return line->ended; });
+  }));
+}
+
 // Guards against an idle connection that its member has closed, or spoken on, unnoticed.
 TEST(GatewayMembers, ThatCloseAnIdleConnectionCostNoRequest) {
   GatewayRig rig;
@@ -392,6 +437,23 @@
   EXPECT_GE(rig.counters().requestsServed, 20U);
 }
 
+// Guards descriptors: a client that does not read its answer is let go once it can't be waiting any more.
+TEST(GatewayLimits, AClientThatNeverReadsIsLetGo) {
+  GatewayRig rig;
+  rig.answerAll(
+      [&](Line& line, const std::string&) { line.say(rig.members[0]->value(std::string(60'000, 'v'))); });
+  ClientStandIn slow(rig.loop, rig.endpoint);
+  slow.line().deaf = true;
+  std::string many;
+  // More than two kernels hold.
+  for (int i = 0; i < 600; ++i) {
+    many += pg::query("SELECT 'k' /* id=" + std::to_string(i) + ",c=any,d=400,cluster=0 */");
+  }
+  slow.say(many);
+  EXPECT_TRUE(rig.until([&] { return rig.counters().clientsNotReading == 1; }));
+  EXPECT_LT(rig.counters().requestsServed, 600U);
+}
+
 TEST(GatewayEnd, LetsGoBetweenRequestsAndServesWhatIsOut) {
   GatewayRig rig;
   ClientStandIn idle(rig.loop, rig.endpoint);
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -120,6 +120,12 @@
   }
   std::string value(std::string_view text) const { return pg::row(text) + news(primary) + pg::ready(); }
 
+  // Welcomes those that it has let wait.
+  void welcomeNow() {
+    welcomes = true;
+    for (auto& line : lines) onLineInput(*line);
+  }
+
   bool primary = false;
   bool welcomes = true;
   std::int64_t lagMs = 0;
