No more long reads are packed on a replica where none has ended for long

Ruled out: the sockets (open connections, written within the same turn), slowness as a sign (tried, came too late), the order of ids as such (turned round it hits the other slow replica).

At fault: takesPacks, which looked only at blocks and doubts. Now a replica that holds long reads of ours and has ended none for twice their usual latency takes no more.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -50,6 +50,8 @@
 constexpr double kPackWait = 0.25;
 // How fast the record of what classes arrive moves.
 constexpr double kMixKept = 0.999;
+// Guards long reads against a member on which none has ended for so many usual latencies: no more are packed.
+constexpr double kPackPatience = 2;
 // Makes a second try prefer a member that the request has not seen, and any try one known to live.
 constexpr double kTriedPenalty = 4;
 
@@ -161,7 +163,13 @@
   static bool ledLast(const Peer& peer, const Group& group) {
     return peer.primaryAt != kNever && peer.primaryAt == group.primaryAt;
   }
-  bool takesPacks(const Peer& peer) const { return peer.ready && !peer.doubted && !blocked(peer); }
+  bool takesPacks(const Peer& peer) const {
+    const bool stuck = peer.longReads > 0 && now_ >= peer.progressDue;
+    return peer.ready && !peer.doubted && !blocked(peer) && !stuck;
+  }
+  Micros progressDue(std::size_t of) const {
+    return now_ + part(kPackPatience, Micros(latencies_[of].value));
+  }
   // Guards against ghosts: one that nothing but the list vouches for and that failed gets probes only.
   bool ghost(const Peer& peer) const { return peer.strikes > 0 && peer.doubted; }
   double limitOf(const Peer& peer) const { return peer.strikes > 0 ? std::min(1.0, peer.limit) : peer.limit; }
@@ -781,7 +789,10 @@
   const Micros silence = std::max(settings_.connectTimeout, kBlockLeast);
   const bool quiet = peer.inFlight > 0 && now_ - peer.heardAt > silence;
   act(Attempt{job.request.id, peer.info.id, 0});
-  job.tries.push_back({peer.info.id, now_, cost, true, true});
+  job.tries.push_back({peer.info.id, now_, cost});
+  job.tries.back().isLong = longRead(job.request.classIndex);
+  if (job.tries.back().isLong && peer.longReads++ == 0)
+    peer.progressDue = progressDue(job.request.classIndex);
   ++job.pending;
   if (peer.inFlight++ == 0) peer.heardAt = std::max(peer.heardAt, now_);
   peer.load += cost;
@@ -861,6 +872,9 @@
   if (Peer* peer = find(attempt.member)) {
     peer->inFlight = std::max(0, peer->inFlight - 1);
     peer->load = peer->inFlight == 0 ? 0 : std::max(0.0, peer->load - attempt.cost);
+    if (attempt.isLong) --peer->longReads;
+    if (attempt.isLong && event.outcome == Outcome::Ok)
+      peer->progressDue = progressDue(job.request.classIndex);
     learnEnd(*peer, job, event);
     // Guards against routers that sit on idle connections which others need while connections are scarce.
     if (event.outcome == Outcome::Ok && now_ - scarceAt_ < kScarceFor) act(Disconnect{attempt.member});
--- a/src/state.h
+++ b/src/state.h
@@ -37,7 +37,9 @@
   Micros replicaAt = kNever;   // the newest time at which it is known to have been a replica
   Micros listedAt = kNever;    // when the list first took it for the primary
   int inFlight = 0;
-  double load = 0;  // own requests in flight, each weighed by its class
+  double load = 0;              // own requests in flight, each weighed by its class
+  int longReads = 0;            // own ones in flight
+  Micros progressDue = kNever;  // by when one of these should have ended
   double slowness = 1;
   Micros slownessAt = kNever;
   double limit = 1;
@@ -82,6 +84,7 @@
   bool pending = true;
   bool ran = true;        // false once it is known that it never ran
   bool recalled = false;  // cancelled before it was written
+  bool isLong = false;    // counts among its member's long reads
 };
 
 struct Job {
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -162,6 +162,28 @@
   for (int i = 0; i < 4; ++i) EXPECT_EQ(rig.sentTo(rig.ask(heavy)), Members{2});
 }
 
+// Guards long reads against a replica that turned slow: the few that are out there do not end for long.
+TEST(Routing, LongReadsAreNotPackedWhereTheLastOnesDoNotEnd) {
+  Settings settings = makeSettings();
+  settings.classes.push_back(makeClass(Consistency::Any, Effect::Safe, 8 * kS, 16 * kS, 0));
+  KnownRig rig(settings);
+  const auto heavy = static_cast<std::uint32_t>(settings.classes.size() - 1);
+  for (int i = 0; i < 2000; ++i) {
+    const auto read = rig.ask(kAny);
+    rig.end(read, 0, Outcome::Ok, Role::Replica, {}, 40 * kMs);
+  }
+  rig.end(rig.ask(heavy), 0, Outcome::Ok, Role::Replica, {}, 900 * kMs);
+  const auto stuck = rig.ask(heavy, 16 * kS);
+  const auto other = rig.ask(heavy, 16 * kS);
+  EXPECT_EQ(rig.sentTo(stuck), Members{2});
+  rig.now += 1700 * kMs;
+  EXPECT_EQ(rig.sentTo(rig.ask(heavy, 16 * kS)), Members{2}) << "less than twice the usual";
+  rig.now += 200 * kMs;
+  EXPECT_EQ(rig.sentTo(rig.ask(heavy, 16 * kS)), Members{3});
+  rig.end(other, 0, Outcome::Ok, Role::Replica, {}, 1900 * kMs);
+  EXPECT_EQ(rig.sentTo(rig.ask(heavy, 16 * kS)), Members{2}) << "they end there again";
+}
+
 TEST(Routing, LongAnyReadsThatAreMoreThanAnEvenPartOfTheWorkTakeAsManyReplicas) {
   Settings settings = makeSettings();
   settings.classes.push_back(makeClass(Consistency::Any, Effect::Safe, 4 * kS, 8 * kS, 0));
