--- a/src/routing/client_listener.cpp
+++ b/src/routing/client_listener.cpp
@@ -53,9 +53,12 @@
 
 void ClientListener::acceptAll() {
   for (int i = 0; i < kAcceptsPerTurn && listener_; ++i) {
+    const bool fits = makeRoom();
+    // Guards requests that stand behind a connection: they wait in the queue rather than be cut off unread.
+    if (!fits && !budget_.clientMayBeToldOff()) return retry_.arm(loop_.now() + kRetryAccept);
     transport::Opened opened = transport::acceptFrom(listener_.get());
     if (opened.fd) {
-      admit(std::move(opened.fd));
+      admit(std::move(opened.fd), fits);
       continue;
     }
     if (opened.error == EAGAIN || opened.error == EWOULDBLOCK) return;
@@ -99,12 +102,10 @@
   return out;
 }
 
-void ClientListener::admit(transport::UniqueFd fd) {
-  const bool fits = makeRoom();
+void ClientListener::admit(transport::UniqueFd fd, bool fits) {
   if (!fits) {
     ++observer_.counters.clientsTurnedAway;
     observer_.note(Topic::Limits, "a client is turned away: no descriptor is left for it");
-    if (!budget_.clientMayBeToldOff()) return;
   }
   auto session = std::make_unique<ClientSession>(loop_, static_cast<ClientSessionOwner&>(*this), router_,
                                                  classes_, observer_);
--- a/src/routing/client_listener.h
+++ b/src/routing/client_listener.h
@@ -36,7 +36,7 @@
   bool makeRoom();
   void move(ClientSession& session, Sessions& to);
   std::vector<ClientSession*> all() const;
-  void admit(transport::UniqueFd fd);
+  void admit(transport::UniqueFd fd, bool fits);
   void stopListening();
   void checkDrained();
 
--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -183,6 +183,12 @@
   if (stream_.output().empty()) stream_.endSending();
 }
 
+void ClientSession::turnAway() {
+  turnedAway_ = leaving_ = true;
+  // One that never asks must not keep others from being told.
+  farewell_.arm(loop_.now() + kFarewell);
+}
+
 void ClientSession::leave(bool evenUnasked) {
   leaving_ = true;
   if (asked_ || evenUnasked) closeIfIdle();
--- a/src/routing/client_session.h
+++ b/src/routing/client_session.h
@@ -32,7 +32,7 @@
 
   bool adopt(transport::UniqueFd fd) { return stream_.adopt(std::move(fd)); }
   // Every request is refused and the connection ends with the first: there are too many clients.
-  void turnAway() { turnedAway_ = leaving_ = true; }
+  void turnAway();
   // Ends as soon as it stands between requests. One that has not asked yet may do so first, unless told not
   // to.
   void leave(bool evenUnasked);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -14,6 +14,18 @@
   using Handlers::operator()...;
 };
 
+// Sets a flag for as long as it lives, also where an exception cuts that short.
+class Raised {
+ public:
+  explicit Raised(bool& flag) : flag_(flag) { flag_ = true; }
+  ~Raised() { flag_ = false; }
+  Raised(const Raised&) = delete;
+  Raised& operator=(const Raised&) = delete;
+
+ private:
+  bool& flag_;
+};
+
 constexpr Micros kMicrosPerMilli = 1000;
 constexpr std::string_view kProbeStatement = "SHOW stats";
 
@@ -42,9 +54,8 @@
   bool writeQuery(transport::Buffer& out) override {
     if (request.requester == nullptr) return false;
     if (router.loop_.now() > startedAt) {
-      asking = true;
+      const Raised vetting(asking);
       router.post(AttemptConnected{request.id, index});
-      asking = false;
       if (recalled || request.requester == nullptr) return false;
     }
     const std::string_view statement = request.requester->statement();
@@ -109,7 +120,7 @@
 // Events are handled one after the other: what an action brings about at once waits for its turn.
 void Router::run() {
   if (running_) return;
-  running_ = true;
+  const Raised running(running_);
   std::vector<Action> batch;
   for (;;) {
     batch.swap(actions_);
@@ -120,7 +131,6 @@
     events_.pop_front();
     logic_.handle(loop_.now(), event, actions_);
   }
-  running_ = false;
 }
 
 void Router::perform(const Action& action) {
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -401,6 +401,28 @@
   EXPECT_LE(rig.counters().descriptorsPeak, 100U);
 }
 
+// Guards requests of clients beyond even those: they wait in the queue and are taken once there is room.
+TEST(GatewayLimits, ClientsBeyondThoseThatCanBeToldWaitAndAreNotCutOff) {
+  GatewayOptions options;
+  options.sockets = 100;
+  GatewayRig rig(options);
+  std::vector<Line*> held;
+  rig.answerAll([&](Line& line, const std::string&) { held.push_back(&line); });
+  std::vector<std::unique_ptr<ClientStandIn>> clients;
+  for (int i = 0; i < 30; ++i) {
+    clients.push_back(std::make_unique<ClientStandIn>(rig.loop, rig.endpoint));
+    clients.back()->ask(request("any", std::to_string(i)));
+  }
+  ASSERT_TRUE(rig.until([&] { return rig.counters().requestsTaken == 30; }));
+  // Sixteen may be told off; these have not asked and so occupy all of that.
+  std::vector<std::unique_ptr<ClientStandIn>> silent;
+  for (int i = 0; i < 16; ++i) silent.push_back(std::make_unique<ClientStandIn>(rig.loop, rig.endpoint));
+  ClientStandIn last(rig.loop, rig.endpoint, false);
+  last.say(pg::startup() + pg::query(request("any", "last")));
+  EXPECT_TRUE(last.gone());
+  EXPECT_EQ(last.code(), "53300") << "it was told, once one of the silent had gone";
+}
+
 TEST(GatewayLimits, AnIdleClientGivesWayToANewOne) {
   GatewayOptions options;
   options.sockets = 100;
