Silent members keep no idle connections; stuck clients make way

Where a probe gets no byte in its time, those that were idle before it are closed (without this the test sees a second silent probe). Clients before their first query, and with a message that does not go on for a second, make way like resting ones, and do not hold up the end of the process.

--- a/src/routing/client_listener.cpp
+++ b/src/routing/client_listener.cpp
@@ -9,12 +9,15 @@
 
 constexpr int kBacklog = 1024;
 constexpr int kAcceptsPerTurn = 64;
+// How many that can't be closed yet are passed by in search of one that can.
+constexpr int kPassedAtMost = 8;
 // Guards against spinning while the system has no descriptor or memory to give.
 constexpr Micros kRetryAccept = 50'000;
 // PROTOCOL, Figures: after SIGTERM new connections keep coming for 0.2 to 0.4 s.
 constexpr Micros kStillComing = 450'000;
 // And what comes more than 0.7 s after it must not be left to the kill.
 constexpr Micros kLastCall = 600'000;
+constexpr Micros kLookAgain = 250'000;
 
 }  // namespace
 
@@ -53,12 +56,13 @@
 
 void ClientListener::acceptAll() {
   for (int i = 0; i < kAcceptsPerTurn && listener_; ++i) {
-    const bool fits = makeRoom();
     // Guards requests that stand behind a connection: they wait in the queue rather than be cut off unread.
-    if (!fits && !budget_.clientMayBeToldOff()) return retry_.arm(loop_.now() + kRetryAccept);
+    if (!budget_.clientMayBeToldOff() && !makeRoom() && !budget_.clientMayBeToldOff()) {
+      return retry_.arm(loop_.now() + kRetryAccept);
+    }
     transport::Opened opened = transport::acceptFrom(listener_.get());
     if (opened.fd) {
-      admit(std::move(opened.fd), fits);
+      admit(std::move(opened.fd), makeRoom());
       continue;
     }
     if (opened.error == EAGAIN || opened.error == EWOULDBLOCK) return;
@@ -71,13 +75,17 @@
   if (listener_) loop_.again(*this);
 }
 
-// Room for one more client: the one that has stood between requests for longest gives way.
+// Room for one more client: the one that has stood between requests, or before its first, for longest gives
+// way.
 bool ClientListener::makeRoom() {
+  int passed = 0;
   while (!budget_.clientFits()) {
     if (resting_.empty()) return false;
     ClientSession& oldest = *resting_.front();
-    // One with something unread is about to be busy.
-    if (!oldest.closeIfIdle()) move(oldest, busy_);
+    if (oldest.closeIfIdle()) continue;
+    // It has something unread: it is about to be busy, or will be looked at again.
+    move(oldest, resting_);
+    if (++passed >= kPassedAtMost) return false;
   }
   return true;
 }
@@ -115,8 +123,8 @@
   ++observer_.counters.clientsAccepted;
   budget_.clientOpened();
   ClientSession* key = session.get();
-  busy_.push_back(std::move(session));
-  index_.emplace(key, Held{&busy_, std::prev(busy_.end())});
+  resting_.push_back(std::move(session));
+  index_.emplace(key, Held{&resting_, std::prev(resting_.end())});
 }
 
 void ClientListener::onSessionOver(ClientSession& session) {
@@ -152,12 +160,11 @@
 void ClientListener::checkDrained() {
   if (!draining_ || listener_ || !drained_) return;
   if (!lastCall_.armed()) {
-    // Who has not asked by now is let go as well.
+    // Who has not asked by now is let go as well; one in the middle of a message gets a little longer.
+    lastCall_.arm(loop_.now() + kLookAgain);
     auto done = std::move(drained_);
     drained_ = nullptr;
-    for (ClientSession* session : all()) {
-      if (!session->hasAsked()) session->leave(true);
-    }
+    for (ClientSession* session : all()) session->leave(true);
     drained_ = std::move(done);
   }
   if (index_.empty()) {
--- a/src/routing/client_listener.h
+++ b/src/routing/client_listener.h
@@ -48,8 +48,8 @@
   std::vector<std::string> classNames_;
   ClientSession::ClassIndex classes_;
   transport::UniqueFd listener_;
-  Sessions busy_;     // and those that have not asked yet
-  Sessions resting_;  // between requests, the longest first
+  Sessions busy_;     // with a request out
+  Sessions resting_;  // between requests or before the first, the longest first
   struct Held {
     Sessions* in;
     Sessions::iterator at;
--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -15,7 +15,8 @@
 // One message and what may be pipelined behind it; one answer and what stands around it.
 constexpr transport::Stream::Limits kLimits = {protocol::kClientMessageLimit + 4 * 1024,
                                                protocol::kMemberAnswerLimit + 16 * 1024};
-// How long a client may take to read what it no longer waits for: its last answer, or that it was told off.
+// How long a client may take to read what it no longer waits for (its last answer, or that it was told off),
+// and to go on with a message when its place is wanted.
 constexpr Micros kFarewell = 1'000'000;
 // Beyond this a client's patience is no time at all.
 constexpr std::int64_t kMostPatienceMs = 86'400'000;
@@ -71,6 +72,7 @@
     using Kind = protocol::PgServer::Step::Kind;
     const auto step = server_.step(stream_.input().view(), stream_.output());
     if (step.kind == Kind::NeedMore) {
+      partSince_ = stream_.input().empty() ? 0 : partSince_ == 0 ? loop_.now() : partSince_;
       if (leaving_ && asked_ && stream_.input().empty()) closeIfIdle();
       break;
     }
@@ -195,7 +197,10 @@
 }
 
 bool ClientSession::closeIfIdle() {
-  if (!betweenRequests() || !stream_.output().empty() || !stream_.quiet()) return false;
+  if (busy_ || ending_ || over_ || !stream_.output().empty()) return false;
+  // Guards descriptors, and the end, against clients that begin a message and never finish it.
+  const bool stuck = partSince_ != 0 && loop_.now() - partSince_ > kFarewell;
+  if (!stuck && !stream_.quiet()) return false;
   over();
   return true;
 }
--- a/src/routing/client_session.h
+++ b/src/routing/client_session.h
@@ -36,9 +36,8 @@
   // Ends as soon as it stands between requests. One that has not asked yet may do so first, unless told not
   // to.
   void leave(bool evenUnasked);
-  bool betweenRequests() const { return !busy_ && !ending_ && stream_.input().empty(); }
-  bool hasAsked() const { return asked_; }
-  // Closes it where it stands between requests with nothing unread; says whether it did.
+  // Closes it where it stands between requests with nothing unread, or with a part of a message that does not
+  // go on; says whether it did.
   bool closeIfIdle();
 
   std::string_view statement() const override;
@@ -65,7 +64,8 @@
   transport::Stream stream_;
   transport::Timer farewell_;  // the connection ends then, whatever is unread
   protocol::PgServer server_;
-  Micros readAt_ = 0;  // when the last bytes came
+  Micros readAt_ = 0;     // when the last bytes came
+  Micros partSince_ = 0;  // since when a part of a message stands alone in the input; 0: none does
   RequestId request_ = 0;
   std::size_t requestSize_ = 0;  // what its message takes at the front of the input
   protocol::Slice statement_;
--- a/src/routing/member_pool.cpp
+++ b/src/routing/member_pool.cpp
@@ -66,12 +66,13 @@
   return Started::Yes;
 }
 
-void MemberPool::closeIdle(MemberId member) {
+void MemberPool::closeIdle(MemberId member, Micros idleSince) {
   const auto found = places_.find(member);
   if (found == places_.end()) return;
-  while (!found->second.idle.empty()) {
+  const auto& idle = found->second.idle;
+  while (!idle.empty() && idle.front()->first <= idleSince) {
     ++observer_.counters.connectionsRetired;
-    found->second.idle.back()->second->close();
+    idle.front()->second->close();
   }
 }
 
--- a/src/routing/member_pool.h
+++ b/src/routing/member_pool.h
@@ -1,6 +1,7 @@
 // The connections to all members: where each is reached, and which connections stand idle.
 #pragma once
 
+#include <limits>
 #include <list>
 #include <memory>
 #include <unordered_map>
@@ -30,7 +31,8 @@
   enum class Started { Yes, NoRoom, Unreachable };
   // Starts an exchange on the newest idle connection, else on a new one.
   Started start(MemberId member, Exchange& exchange, MemberConnection*& connection);
-  void closeIdle(MemberId member);
+  // Closes the idle connections to a member that have been so since that time or before.
+  void closeIdle(MemberId member, Micros idleSince = std::numeric_limits<Micros>::max());
   // Closes the connection that has been idle longest; false when there is none.
   bool spareOne();
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -82,10 +82,10 @@
 
 struct Router::ProbeState final : Exchange {
   ProbeState(Router& owner, MemberId to)
-      : router(owner), member(to), startedAt(owner.loop_.now()), limit(owner.loop_, [this] {
-          if (connection != nullptr) connection->abandon();
-          router.probeEnded(*this, {});
-        }) {}
+      : router(owner),
+        member(to),
+        startedAt(owner.loop_.now()),
+        limit(owner.loop_, [this] { router.probeOverdue(*this); }) {}
 
   bool writeQuery(transport::Buffer& out) override {
     return protocol::writeQuery(out, kProbeStatement, {}, {});
@@ -138,20 +138,12 @@
                  [&](const Attempt& a) { attempt(a); },
                  [&](const Cancel& a) { cancel(a); },
                  [&](const Refuse& a) {
-                   const auto found = requests_.find(a.request);
-                   if (found == requests_.end() || found->second->requester == nullptr) return;
-                   Requester* requester = found->second->requester;
-                   ++observer_.counters.requestsRefused;
-                   finish(*found->second);
-                   requester->refused(a.retryAfter);
+                   Requester* requester = settle(a.request, observer_.counters.requestsRefused);
+                   if (requester != nullptr) requester->refused(a.retryAfter);
                  },
                  [&](const Fail& a) {
-                   const auto found = requests_.find(a.request);
-                   if (found == requests_.end() || found->second->requester == nullptr) return;
-                   Requester* requester = found->second->requester;
-                   ++observer_.counters.requestsFailed;
-                   finish(*found->second);
-                   requester->failed();
+                   Requester* requester = settle(a.request, observer_.counters.requestsFailed);
+                   if (requester != nullptr) requester->failed();
                  },
                  [&](const Probe& a) { probe(a.member); },
                  [&](const Disconnect& a) { pool_.closeIdle(a.member); },
@@ -166,6 +158,16 @@
              action);
 }
 
+// The request gets its answer now: who waits for it, or null where nobody does any more.
+Requester* Router::settle(RequestId id, std::uint64_t& counter) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end() || found->second->requester == nullptr) return nullptr;
+  Requester* requester = found->second->requester;
+  ++counter;
+  finish(*found->second);
+  return requester;
+}
+
 void Router::ringDue() {
   while (!rings_.empty() && rings_.top().at <= loop_.now()) {
     const std::uint64_t token = rings_.top().token;
@@ -306,6 +308,15 @@
   }
 }
 
+void Router::probeOverdue(ProbeState& probe) {
+  // Guards against a machine that vanished: its connections stay open and silent, or are reset once it is
+  // back. Where even a probe gets no byte, those that were idle before it are no more alive.
+  const bool silent = probe.connection->silent();
+  probe.connection->abandon();
+  if (silent) pool_.closeIdle(probe.member, probe.startedAt);
+  probeEnded(probe, {});
+}
+
 void Router::probeEnded(ProbeState& probe, ProbeEnded event) {
   const auto found = probes_.find(probe.member);
   if (found == probes_.end() || found->second.get() != &probe) return;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -71,7 +71,9 @@
   void finish(RequestState& state);
   void attemptEnded(AttemptState& attempt, Outcome outcome, const ExchangeEnd* end);
   void attemptOverdue(AttemptState& attempt);
+  void probeOverdue(ProbeState& probe);
   void probeEnded(ProbeState& probe, ProbeEnded event);
+  Requester* settle(RequestId id, std::uint64_t& counter);
   void eraseIfDone(RequestId id);
   void ringDue();
 
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -74,6 +74,18 @@
   EXPECT_LE(left, 50'000);
 }
 
+TEST(GatewayPassesOn, TheLongestValueAsText) {
+  GatewayRig rig;
+  ClientStandIn client(rig.loop, rig.endpoint);
+  const std::string head =
+      "INSERT INTO rows (handle, blob) VALUES ('k', '\\x" + std::string(std::size_t{128} * 1024, 'f');
+  client.ask(head + "') RETURNING blob /* id=a1,c=save,d=50000,k=5c0f,cluster=0 */");
+  ASSERT_TRUE(client.answered());
+  EXPECT_EQ(client.types(), "TDCZ");
+  ASSERT_EQ(rig.statements().size(), 1U);
+  EXPECT_EQ(rig.statements()[0].substr(0, head.size()), head);
+}
+
 TEST(GatewayPassesOn, NothingOfARequestThatItCanNotRead) {
   GatewayRig rig;
   ClientStandIn client(rig.loop, rig.endpoint);
@@ -274,6 +286,34 @@
   EXPECT_GE(rig.counters().connectionsStale, 2U);
 }
 
+// Guards against a machine that vanished: connections to it stay open and say nothing, for ever.
+TEST(GatewayMembers, ThatVanishedKeepNoIdleConnections) {
+  GatewayOptions options;
+  options.connectTimeoutMs = 250;
+  GatewayRig rig(options, 1);
+  std::vector<Line*> held;
+  rig.members[0]->answer = [&](Line& line, const std::string&) { held.push_back(&line); };
+  std::vector<std::unique_ptr<ClientStandIn>> clients;
+  for (int i = 0; i < 5; ++i) {
+    clients.push_back(std::make_unique<ClientStandIn>(rig.loop, rig.endpoint));
+    clients.back()->ask(request("save", std::to_string(i)));
+  }
+  ASSERT_TRUE(rig.until([&] { return held.size() == 5; }));
+  for (Line* line : held) line->say(rig.members[0]->value("v"));
+  for (auto& client : clients) ASSERT_TRUE(client->answered());
+  ASSERT_GE(rig.members[0]->openLines(), 5U);
+  // From here on nothing comes back, not even to probes.
+  rig.members[0]->answer = rig.members[0]->probe = [](Line&, const std::string&) {};
+  rig.members[0]->welcomes = false;
+  clients[0]->forget();
+  clients[0]->ask("SELECT 'k' /* id=x,c=save,d=400,cluster=0 */");
+  ASSERT_TRUE(clients[0]->answered());
+  EXPECT_TRUE(
+      rig.until([&] { return rig.members[0]->openLines() == 0 || rig.counters().probesFailed >= 2; }));
+  EXPECT_EQ(rig.counters().probesFailed, 1U) << "the first silent probe tells of them all";
+  EXPECT_EQ(rig.members[0]->openLines(), 0U);
+}
+
 TEST(GatewayMembers, ConnectionsAreUsedAgainAndRetiredInTime) {
   GatewayOptions options;
   options.connectTimeoutMs = 100;
@@ -380,17 +420,22 @@
   EXPECT_GT(asked, 0U);
 }
 
+std::vector<std::unique_ptr<ClientStandIn>> askingClients(GatewayRig& rig, int count) {
+  std::vector<std::unique_ptr<ClientStandIn>> clients;
+  for (int i = 0; i < count; ++i) {
+    clients.push_back(std::make_unique<ClientStandIn>(rig.loop, rig.endpoint));
+    clients.back()->ask(request("any", std::to_string(i)));
+  }
+  return clients;
+}
+
 // Guards the descriptor limit: members keep their part, and clients beyond theirs are told.
 TEST(GatewayLimits, ClientsBeyondTheDescriptorsAreToldSo) {
   GatewayOptions options;
   options.sockets = 100;  // less what is kept back: 60, of which half for clients
   GatewayRig rig(options);
   rig.answerAll([](Line&, const std::string&) {});
-  std::vector<std::unique_ptr<ClientStandIn>> clients;
-  for (int i = 0; i < 30; ++i) {
-    clients.push_back(std::make_unique<ClientStandIn>(rig.loop, rig.endpoint));
-    clients.back()->ask(request("any", std::to_string(i)));
-  }
+  const auto clients = askingClients(rig, 30);
   ASSERT_TRUE(rig.until([&] { return rig.counters().requestsTaken == 30; }));
   ClientStandIn extra(rig.loop, rig.endpoint);
   extra.ask(request("any", "extra"));
@@ -408,19 +453,36 @@
   GatewayRig rig(options);
   std::vector<Line*> held;
   rig.answerAll([&](Line& line, const std::string&) { held.push_back(&line); });
-  std::vector<std::unique_ptr<ClientStandIn>> clients;
-  for (int i = 0; i < 30; ++i) {
-    clients.push_back(std::make_unique<ClientStandIn>(rig.loop, rig.endpoint));
-    clients.back()->ask(request("any", std::to_string(i)));
-  }
+  const auto clients = askingClients(rig, 30);
   ASSERT_TRUE(rig.until([&] { return rig.counters().requestsTaken == 30; }));
-  // Sixteen may be told off; these have not asked and so occupy all of that.
+  // These have not asked, so that each gives way to the next.
   std::vector<std::unique_ptr<ClientStandIn>> silent;
   for (int i = 0; i < 16; ++i) silent.push_back(std::make_unique<ClientStandIn>(rig.loop, rig.endpoint));
   ClientStandIn last(rig.loop, rig.endpoint, false);
   last.say(pg::startup() + pg::query(request("any", "last")));
   EXPECT_TRUE(last.gone());
-  EXPECT_EQ(last.code(), "53300") << "it was told, once one of the silent had gone";
+  EXPECT_EQ(last.code(), "53300") << "told, not cut off";
+  EXPECT_EQ(rig.counters().requestsTaken, 30U);
+}
+
+// Guards descriptors against clients that begin a message and never finish it.
+TEST(GatewayLimits, ClientsThatNeverFinishAMessageMakeWay) {
+  GatewayOptions options;
+  options.sockets = 100;
+  GatewayRig rig(options);
+  std::vector<std::unique_ptr<ClientStandIn>> stuck;
+  for (int i = 0; i < 46; ++i) {
+    stuck.push_back(std::make_unique<ClientStandIn>(rig.loop, rig.endpoint, false));
+    stuck.back()->say(pg::startup().substr(0, 7));
+  }
+  // Others are told at first, and served as soon as the stuck ones have had their time.
+  std::size_t asked = 0;
+  EXPECT_TRUE(rig.until([&] {
+    ClientStandIn client(rig.loop, rig.endpoint, false);
+    client.say(pg::startup() + pg::query(request("any", std::to_string(++asked))));
+    rig.until([&] { return client.ended() || client.types().find("TDC") != std::string::npos; });
+    return client.types().find("TDC") != std::string::npos;
+  }));
 }
 
 TEST(GatewayLimits, AnIdleClientGivesWayToANewOne) {
