What was not written whole has never run, also when it is given up

Found by reading: an attempt given up while a part of its statement was still unwritten was told as timed out or cancelled, which may have run; the protocol page says it never did. At fault: attemptOverdue and cancel, which asked for more than 'connecting'.

--- a/src/routing/member_connection.h
+++ b/src/routing/member_connection.h
@@ -65,7 +65,9 @@
   // Whether an idle one may be used: nothing has come in since.
   bool fresh() const { return client_.usable() && stream_.quiet(); }
   Stage stage() const;
-  // A query is out, and nothing has come for it.
+  // The query's last byte has been handed on: what happens from then on may have run.
+  bool writtenWhole() const { return stage() == Stage::Written || stage() == Stage::Answering; }
+  // It is out, and nothing has come for it.
   bool silent() const { return stage() == Stage::Written && stream_.input().empty(); }
 
  private:
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -239,9 +239,9 @@
 
 // The module, or the client's time, has given it up. The connection closes before anything else goes out.
 void Router::attemptOverdue(AttemptState& attempt) {
-  const bool written = attempt.connection != nullptr && attempt.connection->stage() != Stage::Connecting;
+  const bool written = attempt.connection->writtenWhole();
   attempt.connection->abandon();
-  // What was never written has never run: the time was out before a connection was up.
+  // What was never written whole has never run: the time was out before.
   attemptEnded(attempt, written ? Outcome::TimedOut : Outcome::NeverSent, nullptr);
 }
 
@@ -255,7 +255,7 @@
     attempt.recalled = true;
     return;
   }
-  const bool written = attempt.connection->stage() != Stage::Connecting;
+  const bool written = attempt.connection->writtenWhole();
   attempt.connection->abandon();
   attemptEnded(attempt, written ? Outcome::Cancelled : Outcome::NeverSent, nullptr);
 }
