--- a/src/program/gateway.cpp
+++ b/src/program/gateway.cpp
@@ -8,8 +8,9 @@
 
 using transport::Micros;
 
-// PROTOCOL, Discovery: a watch waits at most 60 s. DEPLOY's 'told' limits run from its end, so that a shorter
-// one, well inside the time within which a router must ask, shows sooner that nothing comes through.
+// PROTOCOL, Discovery: a watch waits at most 60 s. What it has to tell counts as told from its end on, so
+// that a shorter one, well inside the time within which a router must ask, shows sooner that nothing comes
+// through.
 constexpr Micros kWatchLeast = 1'000'000;
 constexpr Micros kWatchMost = 60'000'000;
 constexpr Micros kWatchesPerAskWithin = 4;
