--- a/src/protocol/pg_message.h
+++ b/src/protocol/pg_message.h
@@ -60,7 +60,6 @@
 inline constexpr std::string_view kProtocolViolation = "08P01";
 inline constexpr std::string_view kFeatureNotSupported = "0A000";
 inline constexpr std::string_view kInvalidParameter = "22023";
-inline constexpr std::string_view kProgramLimit = "54000";
 inline constexpr std::string_view kSystemError = "58000";
 }  // namespace sqlstate
 
--- a/src/routing/member_pool.h
+++ b/src/routing/member_pool.h
@@ -37,7 +37,6 @@
   bool spareOne();
 
  private:
-  struct Entry;
   using IdleList = std::list<std::pair<Micros, MemberConnection*>>;  // the longest idle first
   struct Place {
     transport::Endpoint endpoint;
