--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -420,23 +420,32 @@
   EXPECT_GT(asked, 0U);
 }
 
-std::vector<std::unique_ptr<ClientStandIn>> askingClients(GatewayRig& rig, int count) {
-  std::vector<std::unique_ptr<ClientStandIn>> clients;
-  for (int i = 0; i < count; ++i) {
-    clients.push_back(std::make_unique<ClientStandIn>(rig.loop, rig.endpoint));
-    clients.back()->ask(request("any", std::to_string(i)));
+// A gateway with a hundred descriptors: less what is kept back sixty, half of which are for clients. All of
+// those have a request out that no member answers.
+class CrowdedRig : public GatewayRig {
+ public:
+  static constexpr int kClients = 30;
+  CrowdedRig() : GatewayRig(options()) {
+    answerAll([](Line&, const std::string&) {});
+    for (int i = 0; i < kClients; ++i) {
+      clients.push_back(std::make_unique<ClientStandIn>(loop, endpoint));
+      clients.back()->ask(request("any", std::to_string(i)));
+    }
+    if (!until([&] { return counters().requestsTaken == kClients; })) {
+      throw std::runtime_error("the gateway does not take what fits");
+    }
   }
-  return clients;
-}
+  static GatewayOptions options() {
+    GatewayOptions out;
+    out.sockets = 100;
+    return out;
+  }
+  std::vector<std::unique_ptr<ClientStandIn>> clients;
+};
 
 // Guards the descriptor limit: members keep their part, and clients beyond theirs are told.
 TEST(GatewayLimits, ClientsBeyondTheDescriptorsAreToldSo) {
-  GatewayOptions options;
-  options.sockets = 100;  // less what is kept back: 60, of which half for clients
-  GatewayRig rig(options);
-  rig.answerAll([](Line&, const std::string&) {});
-  const auto clients = askingClients(rig, 30);
-  ASSERT_TRUE(rig.until([&] { return rig.counters().requestsTaken == 30; }));
+  CrowdedRig rig;
   ClientStandIn extra(rig.loop, rig.endpoint);
   extra.ask(request("any", "extra"));
   EXPECT_TRUE(extra.gone());
@@ -448,13 +457,7 @@
 
 // Guards requests of clients beyond even those: they wait in the queue and are taken once there is room.
 TEST(GatewayLimits, ClientsBeyondThoseThatCanBeToldWaitAndAreNotCutOff) {
-  GatewayOptions options;
-  options.sockets = 100;
-  GatewayRig rig(options);
-  std::vector<Line*> held;
-  rig.answerAll([&](Line& line, const std::string&) { held.push_back(&line); });
-  const auto clients = askingClients(rig, 30);
-  ASSERT_TRUE(rig.until([&] { return rig.counters().requestsTaken == 30; }));
+  CrowdedRig rig;
   // These have not asked, so that each gives way to the next.
   std::vector<std::unique_ptr<ClientStandIn>> silent;
   for (int i = 0; i < 16; ++i) silent.push_back(std::make_unique<ClientStandIn>(rig.loop, rig.endpoint));
