--- a/src/protocol/pg_message.cpp
+++ b/src/protocol/pg_message.cpp
@@ -60,8 +60,6 @@
     // V is S untranslated, so it wins whatever the order.
     if (type == 'V' || (type == 'S' && out.severity.empty())) out.severity = *text;
     if (type == 'C') out.code = *text;
-    if (type == 'M') out.message = *text;
-    if (type == 'D') out.detail = *text;
   }
   return out;
 }
--- a/src/protocol/pg_message.h
+++ b/src/protocol/pg_message.h
@@ -40,12 +40,10 @@
 // Takes a text that ends in a zero byte off the front; nothing when there is none.
 std::optional<std::string_view> takeText(std::string_view& bytes);
 
-// What an ErrorResponse or NoticeResponse says.
+// What an ErrorResponse says, as far as it decides anything.
 struct ErrorFields {
   std::string_view severity;
   std::string_view code;
-  std::string_view message;
-  std::string_view detail;
   bool fatal() const { return severity == "FATAL" || severity == "PANIC"; }
 };
 ErrorFields parseErrorFields(std::string_view body);
--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -11,7 +11,7 @@
 
 namespace sqlstate = protocol::sqlstate;
 
-constexpr Micros kMicrosPerMilli = 1000;
+using transport::kMicrosPerMilli;
 // One message and what may be pipelined behind it; one answer and what stands around it.
 constexpr transport::Stream::Limits kLimits = {protocol::kClientMessageLimit + 4 * 1024,
                                                protocol::kMemberAnswerLimit + 16 * 1024};
--- a/src/routing/directory.cpp
+++ b/src/routing/directory.cpp
@@ -7,7 +7,7 @@
 namespace heathflow::routing {
 namespace {
 
-constexpr Micros kMicrosPerMilli = 1000;
+using transport::kMicrosPerMilli;
 // Beyond so many names those that are gone are forgotten, so that memory does not grow with all ever seen.
 constexpr std::size_t kNamesKept = 4096;
 
--- a/src/routing/discovery_watch.cpp
+++ b/src/routing/discovery_watch.cpp
@@ -3,7 +3,7 @@
 namespace heathflow::routing {
 namespace {
 
-constexpr Micros kMicrosPerMilli = 1000;
+using transport::kMicrosPerMilli;
 constexpr std::size_t kBodyLimit = 8 * 1024 * 1024;
 constexpr transport::Stream::Limits kLimits = {64 * 1024, 4 * 1024};
 // PROTOCOL, Figures: for a call that may wait, what it has to tell counts as told 2 s after that wait.
--- a/src/routing/outcome.cpp
+++ b/src/routing/outcome.cpp
@@ -8,7 +8,7 @@
 namespace sqlstate = protocol::sqlstate;
 using Kind = protocol::Answer::Kind;
 
-constexpr Micros kMicrosPerMilli = 1000;
+using transport::kMicrosPerMilli;
 
 std::string_view codeOf(const ExchangeEnd& end) {
   return end.answer == nullptr ? std::string_view() : end.answer->code.of(end.bytes);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -3,17 +3,13 @@
 #include <algorithm>
 #include <string>
 
+#include "overloaded.h"
 #include "protocol/pg_message.h"
 #include "routing/outcome.h"
 
 namespace heathflow::routing {
 namespace {
 
-template <typename... Handlers>
-struct Overloaded : Handlers... {
-  using Handlers::operator()...;
-};
-
 // Sets a flag for as long as it lives, also where an exception cuts that short.
 class Raised {
  public:
@@ -26,7 +22,7 @@
   bool& flag_;
 };
 
-constexpr Micros kMicrosPerMilli = 1000;
+using transport::kMicrosPerMilli;
 constexpr std::string_view kProbeStatement = "SHOW stats";
 
 }  // namespace
@@ -158,7 +154,7 @@
              action);
 }
 
-// The request gets its answer now: who waits for it, or null where nobody does any more.
+// The request gets its answer now, or is left: who waits for it, or null where nobody does any more.
 Requester* Router::settle(RequestId id, std::uint64_t& counter) {
   const auto found = requests_.find(id);
   if (found == requests_.end() || found->second->requester == nullptr) return nullptr;
@@ -186,22 +182,16 @@
   state->deadline = request.deadline;
   requests_.emplace(request.id, std::move(state));
   ++observer_.counters.requestsTaken;
-  ++unanswered_;
   post(RequestArrived{request});
 }
 
 void Router::left(RequestId request) {
-  const auto found = requests_.find(request);
-  if (found == requests_.end() || found->second->requester == nullptr) return;
-  ++observer_.counters.requestsLeft;
-  finish(*found->second);
-  post(ClientLeft{request});
+  if (settle(request, observer_.counters.requestsLeft) != nullptr) post(ClientLeft{request});
 }
 
 // The request has its one answer, or nobody waits for it.
 void Router::finish(RequestState& state) {
   state.requester = nullptr;
-  --unanswered_;
   eraseIfDone(state.id);
 }
 
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -49,7 +49,6 @@
   void stopping(Micros by) { post(Stopping{by}); }
 
   const settings::InstanceSettings& settings() const { return settings_; }
-  std::size_t unanswered() const { return unanswered_; }
 
  private:
   struct AttemptState;
@@ -90,7 +89,6 @@
   std::vector<Action> actions_;
   RequestId lastId_ = 0;
   std::uint64_t ringOrder_ = 0;
-  std::size_t unanswered_ = 0;
   bool running_ = false;
   Logic logic_;
 };
--- a/src/transport/clock.h
+++ b/src/transport/clock.h
@@ -8,6 +8,8 @@
 
 using Micros = std::int64_t;
 
+inline constexpr Micros kMicrosPerMilli = 1000;
+
 // Runs with the steady clock. It follows the wall clock forwards, for a clock that stays behind would make
 // old data look young; a wall clock that is set back is not followed, so that timers never stall.
 class Clock {
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -4,14 +4,11 @@
 #include <cmath>
 #include <limits>
 
+#include "overloaded.h"
+
 namespace heathflow::wirehost {
 namespace {
 
-template <typename... Handlers>
-struct Overloaded : Handlers... {
-  using Handlers::operator()...;
-};
-
 constexpr std::uint32_t kRoleBits = 4;
 constexpr std::uint8_t kScopeDelta = 0;
 constexpr std::uint8_t kScopeFull = 1;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -148,62 +148,57 @@
   EXPECT_EQ(rig.sentTo(rig.ask(kBounded)), Members{1});
 }
 
-TEST(Routing, LongAnyReadsArePackedOnTheFirstReplicaSoThatOthersStayCurrent) {
+// The usual settings with a class of long reads behind them.
+constexpr std::uint32_t kLongRead = kKeyedWrite + 1;
+Settings longReadSettings(Micros aim, Micros deadline) {
   Settings settings = makeSettings();
-  settings.classes.push_back(makeClass(Consistency::Any, Effect::Safe, 4 * kS, 8 * kS, 0));
-  KnownRig rig(settings);
-  const auto heavy = static_cast<std::uint32_t>(settings.classes.size() - 1);
-  for (int i = 0; i < 200; ++i) {
-    const auto read = rig.ask(kAny);
-    rig.end(read, 0, Outcome::Ok, Role::Replica, {}, 40 * kMs);
-  }
-  const auto first = rig.ask(heavy);
-  rig.end(first, 0, Outcome::Ok, Role::Replica, {}, 900 * kMs);
-  for (int i = 0; i < 4; ++i) EXPECT_EQ(rig.sentTo(rig.ask(heavy)), Members{2});
+  settings.classes.push_back(makeClass(Consistency::Any, Effect::Safe, aim, deadline, 0));
+  return settings;
+}
+// Short reads of 40 ms and one long one of 900 ms, so that the router knows which are long.
+void serveReads(Rig& rig, int shortReads) {
+  for (int i = 0; i < shortReads; ++i) rig.end(rig.ask(kAny), 0, Outcome::Ok, Role::Replica, {}, 40 * kMs);
+  rig.end(rig.ask(kLongRead), 0, Outcome::Ok, Role::Replica, {}, 900 * kMs);
+}
+
+TEST(Routing, LongAnyReadsArePackedOnTheFirstReplicaSoThatOthersStayCurrent) {
+  KnownRig rig(longReadSettings(4 * kS, 8 * kS));
+  serveReads(rig, 200);
+  for (int i = 0; i < 4; ++i) EXPECT_EQ(rig.sentTo(rig.ask(kLongRead)), Members{2});
 }
 
 // Guards long reads against a replica that turned slow: the few that are out there do not end for long.
 TEST(Routing, LongReadsAreNotPackedWhereTheLastOnesDoNotEnd) {
-  Settings settings = makeSettings();
-  settings.classes.push_back(makeClass(Consistency::Any, Effect::Safe, 8 * kS, 16 * kS, 0));
-  KnownRig rig(settings);
-  const auto heavy = static_cast<std::uint32_t>(settings.classes.size() - 1);
-  for (int i = 0; i < 2000; ++i) {
-    const auto read = rig.ask(kAny);
-    rig.end(read, 0, Outcome::Ok, Role::Replica, {}, 40 * kMs);
-  }
-  rig.end(rig.ask(heavy), 0, Outcome::Ok, Role::Replica, {}, 900 * kMs);
-  const auto stuck = rig.ask(heavy, 16 * kS);
-  const auto other = rig.ask(heavy, 16 * kS);
+  KnownRig rig(longReadSettings(8 * kS, 16 * kS));
+  serveReads(rig, 2000);
+  const auto stuck = rig.ask(kLongRead, 16 * kS);
+  const auto other = rig.ask(kLongRead, 16 * kS);
   EXPECT_EQ(rig.sentTo(stuck), Members{2});
   rig.now += 1700 * kMs;
-  EXPECT_EQ(rig.sentTo(rig.ask(heavy, 16 * kS)), Members{2}) << "less than twice the usual";
+  EXPECT_EQ(rig.sentTo(rig.ask(kLongRead, 16 * kS)), Members{2}) << "less than twice the usual";
   rig.now += 200 * kMs;
-  EXPECT_EQ(rig.sentTo(rig.ask(heavy, 16 * kS)), Members{3});
+  EXPECT_EQ(rig.sentTo(rig.ask(kLongRead, 16 * kS)), Members{3});
   rig.end(other, 0, Outcome::Ok, Role::Replica, {}, 1900 * kMs);
-  EXPECT_EQ(rig.sentTo(rig.ask(heavy, 16 * kS)), Members{2}) << "they end there again";
+  EXPECT_EQ(rig.sentTo(rig.ask(kLongRead, 16 * kS)), Members{2}) << "they end there again";
 }
 
 TEST(Routing, LongAnyReadsThatAreMoreThanAnEvenPartOfTheWorkTakeAsManyReplicas) {
-  Settings settings = makeSettings();
-  settings.classes.push_back(makeClass(Consistency::Any, Effect::Safe, 4 * kS, 8 * kS, 0));
-  Rig rig(settings);
+  Rig rig(longReadSettings(4 * kS, 8 * kS));
   rig.list({makeMember(1, true), makeMember(2), makeMember(3), makeMember(4), makeMember(5)});
   rig.probed(1, Role::Primary, rig.now);
   for (MemberId id = 2; id <= 5; ++id) rig.probed(id, Role::Replica, rig.now - 100 * kMs);
-  const auto heavy = static_cast<std::uint32_t>(settings.classes.size() - 1);
   std::set<MemberId> used;
   for (int i = 0; i < 400; ++i) {
     // One long read of 900 ms for 60 short ones of 40 ms: three eighths of the work, 1.5 even parts of four.
     const bool isHeavy = i % 61 == 60;
-    const auto read = rig.ask(isHeavy ? heavy : static_cast<std::uint32_t>(kAny));
+    const auto read = rig.ask(isHeavy ? kLongRead : static_cast<std::uint32_t>(kAny));
     const auto to = rig.sentTo(read);
     ASSERT_EQ(to.size(), 1U);
     if (isHeavy && i > 200) used.insert(to[0]);
     rig.end(read, 0, Outcome::Ok, Role::Replica, {}, isHeavy ? 900 * kMs : 40 * kMs);
   }
-  const auto one = rig.ask(heavy);
-  const auto two = rig.ask(heavy);
+  const auto one = rig.ask(kLongRead);
+  const auto two = rig.ask(kLongRead);
   for (const RequestId id : {one, two}) {
     for (const MemberId member : rig.sentTo(id)) used.insert(member);
   }
