--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -506,16 +506,23 @@
   EXPECT_EQ(rig.counters().clientsTurnedAway, 0U);
 }
 
+// Large values, and a client that reads none of them.
+class SlowReaderRig : public GatewayRig {
+ public:
+  SlowReaderRig() : slow(loop, endpoint) {
+    answerAll(
+        [this](Line& line, const std::string&) { line.say(members[0]->value(std::string(60'000, 'v'))); });
+    slow.line().deaf = true;
+  }
+  ClientStandIn slow;
+};
+
 // Guards memory and other clients against one that never reads.
 TEST(GatewayLimits, ASlowReaderHoldsUpNobodyElse) {
-  GatewayRig rig;
-  rig.answerAll(
-      [&](Line& line, const std::string&) { line.say(rig.members[0]->value(std::string(60'000, 'v'))); });
-  ClientStandIn slow(rig.loop, rig.endpoint);
-  slow.line().deaf = true;
+  SlowReaderRig rig;
   std::string many;
   for (int i = 0; i < 400; ++i) many += pg::query(request("any", "s" + std::to_string(i)));
-  slow.say(many);
+  rig.slow.say(many);
   ClientStandIn quick(rig.loop, rig.endpoint);
   for (std::size_t i = 0; i < 20; ++i) {
     quick.ask(request("any", "q" + std::to_string(i)));
@@ -526,17 +533,13 @@
 
 // Guards descriptors: a client that does not read its answer is let go once it can't be waiting any more.
 TEST(GatewayLimits, AClientThatNeverReadsIsLetGo) {
-  GatewayRig rig;
-  rig.answerAll(
-      [&](Line& line, const std::string&) { line.say(rig.members[0]->value(std::string(60'000, 'v'))); });
-  ClientStandIn slow(rig.loop, rig.endpoint);
-  slow.line().deaf = true;
+  SlowReaderRig rig;
   std::string many;
   // More than two kernels hold.
   for (int i = 0; i < 600; ++i) {
     many += pg::query("SELECT 'k' /* id=" + std::to_string(i) + ",c=any,d=400,cluster=0 */");
   }
-  slow.say(many);
+  rig.slow.say(many);
   EXPECT_TRUE(rig.until([&] { return rig.counters().clientsNotReading == 1; }));
   EXPECT_LT(rig.counters().requestsServed, 600U);
 }
