SIGHUP reads the configuration again and moves discovery

Checked: signals.cpp blocks and reads TERM, INT and USR1 only, so HUP has its default, which ends the process; the log stops with no line of ours, which rules out an exception or a failed check. Changed: HUP is read like the others; main loads the file anew, one that can't be used costs one line and changes nothing; DiscoveryWatch::moveTo ends the call that is out and asks the new place for the whole list, for revisions of two services need not agree. The module hears nothing of the move: only a list or a failed call counts. What else it meets: a discovery service that moves for any cause. It might hurt where the new address answers late: the old one is not listened to any more. The new tests fail without the change: the program ends.

--- a/src/program/gateway.h
+++ b/src/program/gateway.h
@@ -20,6 +20,8 @@
   bool start(std::string& problem);
   // Where clients reach it.
   std::optional<transport::Endpoint> boundTo() const { return listener_.boundTo(); }
+  // Takes over what may change while it runs: where discovery is. The rest holds from the next start on.
+  void reload(const Config& fresh) { watch_.moveTo(fresh.discovery); }
   // Lets all clients go between their requests, then calls back. What members do not answer in time gets its
   // answer before the platform ends the process.
   void drain(std::function<void()> done);
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -19,6 +19,17 @@
   for (std::string line; std::getline(lines, line);) program::logLine(line);
 }
 
+// Reads the configuration again. Guards a running gateway against a file that can't be used: the old one
+// stays.
+void reload(program::Gateway& gateway) {
+  program::Config fresh;
+  std::string problem;
+  if (!program::loadConfig(fresh, problem))
+    return program::logLine("the configuration stays as it was: " + problem);
+  gateway.reload(fresh);
+  program::logLine("the configuration was read again: discovery at " + toText(fresh.discovery));
+}
+
 int serve() {
   program::Config config;
   std::string problem;
@@ -31,6 +42,7 @@
   program::Gateway gateway(loop, config, log);
   program::Signals signals(loop, [&](int signal) {
     if (signal == SIGUSR1) return logCounters(log.counters);
+    if (signal == SIGHUP) return reload(gateway);
     program::logLine("told to end: clients are let go");
     gateway.drain([&] { loop.stop(); });
   });
--- a/src/program/signals.cpp
+++ b/src/program/signals.cpp
@@ -13,7 +13,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   sigset_t wanted;
   sigemptyset(&wanted);
-  for (const int signal : {SIGTERM, SIGINT, SIGUSR1}) sigaddset(&wanted, signal);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP, SIGUSR1}) sigaddset(&wanted, signal);
   sigprocmask(SIG_BLOCK, &wanted, nullptr);
   fd_ = transport::UniqueFd(::signalfd(-1, &wanted, SFD_NONBLOCK | SFD_CLOEXEC));
   if (!fd_ || !loop_.watch(fd_.get(), *this))
--- a/src/program/signals.h
+++ b/src/program/signals.h
@@ -10,7 +10,7 @@
 class Signals final : private transport::IoHandler {
  public:
   using Handler = std::function<void(int signal)>;
-  // From here on SIGTERM, SIGINT and SIGUSR1 come as calls, and SIGPIPE not at all.
+  // From here on SIGTERM, SIGINT, SIGHUP and SIGUSR1 come as calls, and SIGPIPE not at all.
   Signals(transport::EventLoop& loop, Handler handler);
   ~Signals() override;
 
--- a/src/routing/discovery_watch.cpp
+++ b/src/routing/discovery_watch.cpp
@@ -28,11 +28,22 @@
       next_(loop, [this] { call(watchFor_); }) {}
 
 void DiscoveryWatch::subscribe() {
+  wanted_ = true;
   // A call that is out answers this wish as well, and a watch that stands is one already.
   if (calling_ || next_.armed()) return;
   call(kNoWait);
 }
 
+// What the old place still had to say is part of the whole list that the new one gives, so its call ends
+// here. Revisions are not compared across the two.
+void DiscoveryWatch::moveTo(const transport::Endpoint& endpoint) {
+  if (endpoint == endpoint_) return;
+  endpoint_ = endpoint;
+  hangUp();
+  revision_ = -1;
+  if (wanted_) call(kNoWait);
+}
+
 void DiscoveryWatch::call(Micros wait) {
   calling_ = true;
   calledAt_ = loop_.now();
@@ -110,8 +121,7 @@
   }
 }
 
-// The list stays as it was. When to ask again is not for here to say.
-void DiscoveryWatch::failed(const std::string& why) {
+void DiscoveryWatch::hangUp() {
   calling_ = false;
   limit_.disarm();
   next_.disarm();
@@ -120,6 +130,11 @@
     loop_.retire(std::move(stream_));
   }
   response_.reset();
+}
+
+// The list stays as it was. When to ask again is not for here to say.
+void DiscoveryWatch::failed(const std::string& why) {
+  hangUp();
   ++observer_.counters.discoveryFailures;
   observer_.note(Topic::Discovery, "a call to discovery failed: " + why);
   onFailure_();
--- a/src/routing/discovery_watch.h
+++ b/src/routing/discovery_watch.h
@@ -27,6 +27,8 @@
   void startFrom(std::int64_t revision) { revision_ = revision; }
   // Asks once, at once. While the call or the watch goes well it stays subscribed by itself.
   void subscribe();
+  // Discovery is reached elsewhere from now on: the whole list is asked for there, at once.
+  void moveTo(const transport::Endpoint& endpoint);
 
  private:
   void onOpen() override;
@@ -37,6 +39,7 @@
   void open();
   void finished();
   void failed(const std::string& why);
+  void hangUp();
 
   transport::EventLoop& loop_;
   transport::Endpoint endpoint_;
@@ -51,6 +54,7 @@
   transport::Timer next_;
   std::string request_;
   Micros calledAt_ = 0;
+  bool wanted_ = false;  // the module has asked for news
   bool calling_ = false;
   bool reused_ = false;  // the call went out on a connection that had carried one before
 };
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -20,8 +20,8 @@
   explicit Process(const std::string& config) {
     std::string pattern = (std::filesystem::temp_directory_path() / "heathflow-XXXXXX").string();
     directory_ = ::mkdtemp(pattern.data());
-    const std::string file = directory_ + "/config.json";
-    std::ofstream(file) << config;
+    const std::string file = file_ = directory_ + "/config.json";
+    configure(config);
     int pipe[2] = {-1, -1};
     EXPECT_EQ(::pipe2(pipe, O_CLOEXEC), 0);
     pid_ = ::fork();
@@ -43,6 +43,9 @@
     std::error_code ignored;
     std::filesystem::remove_all(directory_, ignored);
   }
+  // What the file holds from now on.
+  void configure(const std::string& config) { std::ofstream(file_) << config; }
+  void withoutConfiguration() { std::filesystem::remove(file_); }
   void signal(int number) { ::kill(pid_, number); }
   const std::string& log() {
     char bytes[4096];
@@ -69,6 +72,7 @@
 
  private:
   std::string directory_;
+  std::string file_;
   pid_t pid_ = -1;
   transport::UniqueFd log_;
   std::string text_;
@@ -187,6 +191,75 @@
   EXPECT_FALSE(process.over());
 }
 
+// Guards drivers whose discovery moves: the call that is out ends, the whole list comes from the new place,
+// and what was asked meanwhile is served.
+TEST(ProgramSignals, HupMovesDiscoveryAndCostsNoRequest) {
+  Site site;
+  Line* held = nullptr;
+  site.member.answer = [&](Line& line, const std::string&) { held = &line; };
+  Process process(site.config());
+  ASSERT_TRUE(site.until([&] { return process.says("serves at") && site.discovery.waiting != nullptr; }));
+  ClientStandIn client(site.loop, process.endpoint());
+  client.ask(request("save", "1"));
+  ASSERT_TRUE(site.until([&] { return held != nullptr; }));
+  MemberStandIn added(site.loop, kLoopback + 1);
+  added.primary = true;
+  DiscoveryStandIn second(site.loop);
+  second.members = "[" + entry("m1", added.address(), true) + "]";
+  process.configure(configText({}, second.address(), site.discovery.members));
+  process.signal(SIGHUP);
+  ASSERT_TRUE(site.until([&] { return second.waiting != nullptr; }));
+  EXPECT_EQ(second.calls[0], "GET /v1/endpoints HTTP/1.1") << "the whole list";
+  EXPECT_TRUE(site.until([&] { return site.discovery.openLines() == 0; }));
+  held->say(site.member.value("as it was"));
+  ASSERT_TRUE(client.answered());
+  EXPECT_EQ(client.value(), "as it was");
+  client.ask(request("save", "2"));
+  ASSERT_TRUE(client.answered(2));
+  EXPECT_EQ(client.value(1), "from " + added.address());
+  // And once more, on the way to the end.
+  DiscoveryStandIn third(site.loop);
+  third.members = second.members;
+  process.configure(configText({}, third.address(), site.discovery.members));
+  process.signal(SIGHUP);
+  ASSERT_TRUE(site.until([&] { return third.waiting != nullptr; }));
+  process.signal(SIGTERM);
+  ASSERT_TRUE(site.until([&] { return process.over(); }));
+  EXPECT_EQ(process.status(), 0);
+}
+
+TEST(ProgramSignals, HupWithAFileThatCanNotBeUsedChangesNothing) {
+  Site site;
+  Process process(site.config());
+  ASSERT_TRUE(site.until([&] { return process.says("serves at") && site.discovery.waiting != nullptr; }));
+  const std::size_t calls = site.discovery.calls.size();
+  DiscoveryStandIn second(site.loop);
+  std::string lacking = configText({}, second.address(), site.discovery.members);
+  const std::string key = "\"MaxAttempts\":10,";
+  lacking.erase(lacking.find(key), key.size());
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"{", "JSON"}, {lacking, "'MaxAttempts'"}, {"", "JSON"}};
+  std::size_t lines = linesOf(process.log());
+  for (const auto& [text, mark] : cases) {
+    process.configure(text);
+    process.signal(SIGHUP);
+    ASSERT_TRUE(site.until([&] { return linesOf(process.log()) > lines; })) << mark;
+    EXPECT_EQ(linesOf(process.log()), ++lines) << process.log();
+    const std::size_t last = process.log().rfind("the configuration stays as it was");
+    ASSERT_NE(last, std::string::npos) << process.log();
+    EXPECT_NE(process.log().find(mark, last), std::string::npos) << process.log();
+  }
+  process.withoutConfiguration();
+  process.signal(SIGHUP);
+  ASSERT_TRUE(site.until([&] { return linesOf(process.log()) > lines; }));
+  EXPECT_TRUE(process.says("NODE_CONFIG"));
+  ClientStandIn client(site.loop, process.endpoint());
+  client.ask(request("save", "1"));
+  EXPECT_TRUE(client.answered());
+  EXPECT_TRUE(second.calls.empty());
+  EXPECT_EQ(site.discovery.calls.size(), calls) << "the watch stands";
+}
+
 TEST(ProgramSignals, ARestartBindsTheSameAddressAtOnce) {
   Site site;
   auto first = std::make_unique<Process>(site.config());
