Memory binds, gone members are forgotten, and what can't be meant is not believed

A group that only a client named was kept for good. A report of the far future would be believed for ever, for positions and claims to lead never go back. Changed: kForgetGone (where gone binds); a memory budget under all buffers, half of memory_mb, beyond which messages are turned away and answers fail, never half written; requests of groups that no list names are refused at once; positions and reports more than a second ahead, and NULL, are not believed. What else it meets: many slow readers at once; a member with a wrong clock. It might hurt a member that is named as gone by mistake for over ten seconds: its record starts anew.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -79,8 +79,8 @@
 // A request of more than this many usual ones is too heavy for a member that is only tried.
 constexpr double kHeavy = 2;
 
-// Memory. When tokens and members that nobody hears of are let go, and how many tokens are always kept.
-constexpr Micros kForgetTokens = 60 * kSecond, kForgetMembers = 3600 * kSecond;
+// Memory. When tokens and members (gone ones early) are let go, and how many tokens are always kept.
+constexpr Micros kForgetTokens = 60 * kSecond, kForgetMembers = 3600 * kSecond, kForgetGone = 10 * kSecond;
 constexpr std::size_t kTokensLeast = 4096;
 
 // Discovery. Shares of the time within which a router must ask: to spread first calls, wait, and back off.
@@ -317,7 +317,8 @@
 // Whether a member may be let go: not in use, and neither list nor answer has spoken of it for long.
 bool Logic::Impl::forgotten(const Peer& peer) const {
   const bool idle = (!peer.ready || peer.doubted) && peer.inFlight == 0 && !peer.probing;
-  return idle && now_ - std::max(peer.namedAt, peer.heardAt) > kForgetMembers;
+  const Micros after = settings_.goneIsAdvice ? kForgetMembers : kForgetGone;
+  return idle && now_ - std::max(peer.namedAt, peer.heardAt) > after;
 }
 
 // Gone, or left out by the list. Where that binds nothing it goes on as it was, but must show that it lives.
@@ -627,7 +628,9 @@
 
 void Logic::Impl::on(const RequestArrived& event) {
   const Request& request = event.request;
-  if (request.classIndex >= arrivals_.size() || request.deadline <= now_ || now_ >= stopsAt_) {
+  // Guards memory against groups that only a client names.
+  const bool known = request.classIndex < arrivals_.size() && groups_.contains(request.group);
+  if (!known || request.deadline <= now_ || now_ >= stopsAt_) {
     act(Refuse{request.id, 0});
     return;
   }
--- a/src/program/config.cpp
+++ b/src/program/config.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/resource.h>
 
+#include <algorithm>
 #include <charconv>
 #include <cstdlib>
 #include <fstream>
@@ -15,6 +16,10 @@
 
 // Used where neither the file nor the system sets a lower limit (DEPLOY, Limits).
 constexpr std::size_t kSocketsAtMost = 1024;
+// LATER, Score: a driver has 32 to 192 MB.
+constexpr std::size_t kMemoryMbLeast = 32;
+constexpr std::size_t kMemoryMbMost = 1'000'000;
+constexpr std::size_t kMegabyte = 1'000'000;
 
 const char* variable(const char* name) {
   const char* value = std::getenv(name);
@@ -69,16 +74,26 @@
   return static_cast<std::size_t>(limit.rlim_cur);
 }
 
-bool readSockets(const Json& file, std::size_t& out, std::string& problem) {
-  out = std::min(kSocketsAtMost, systemSockets());
+// One of the limits; it stays as it is where the file names none.
+bool readLimit(const Json& file, const char* key, std::size_t& out, std::string& problem) {
   const auto limits = file.find("limits");
-  if (limits == file.end() || !limits->is_object() || !limits->contains("sockets")) return true;
-  const Json& value = limits->at("sockets");
+  if (limits == file.end() || !limits->is_object() || !limits->contains(key)) return true;
+  const Json& value = limits->at(key);
   if (!value.is_number_unsigned()) {
-    problem = "the key 'sockets' holds a value of the wrong type";
+    problem = std::string("the key '") + key + "' holds a value of the wrong type";
     return false;
   }
-  out = std::min(value.get<std::size_t>(), systemSockets());
+  out = value.get<std::size_t>();
+  return true;
+}
+
+bool readLimits(const Json& file, Config& out, std::string& problem) {
+  out.sockets = kSocketsAtMost;
+  out.memory = kMemoryMbLeast;
+  if (!readLimit(file, "sockets", out.sockets, problem) || !readLimit(file, "memory_mb", out.memory, problem))
+    return false;
+  out.sockets = std::min(out.sockets, systemSockets());
+  out.memory = std::min(out.memory, kMemoryMbMost) * kMegabyte;
   return true;
 }
 
@@ -94,7 +109,7 @@
     if (!readText(file, "name", "NODE_NAME", out.name, problem) ||
         !readEndpoint(file, "listen", "NODE_LISTEN", out.listen, problem) ||
         !readEndpoint(file, "discovery", "NODE_DISCOVERY", out.discovery, problem) ||
-        !readSeed(file, out.seed, problem) || !readSockets(file, out.sockets, problem)) {
+        !readSeed(file, out.seed, problem) || !readLimits(file, out, problem)) {
       return false;
     }
     for (const char* key : {"settings", "known"}) {
--- a/src/program/config.h
+++ b/src/program/config.h
@@ -16,6 +16,7 @@
   transport::Endpoint discovery;
   std::uint64_t seed = 0;
   std::size_t sockets = 0;
+  std::size_t memory = 0;  // bytes
   protocol::MemberList known;
   settings::InstanceSettings settings;
 };
--- a/src/program/counters.cpp
+++ b/src/program/counters.cpp
@@ -63,6 +63,7 @@
   addGroup(out, "discovery",
            {{"calls", c.discoveryCalls}, {"failures", c.discoveryFailures}, {"lists", c.listsTaken}});
   addGroup(out, "descriptors", {{"now", c.descriptors}, {"peak", c.descriptorsPeak}});
+  addGroup(out, "memory", {{"refusals", c.memoryRefusals}});
   return out;
 }
 
--- a/src/program/gateway.cpp
+++ b/src/program/gateway.cpp
@@ -23,6 +23,10 @@
 constexpr Micros kKillAfterDeadline = 700'000;
 constexpr Micros kBeforeKill = 500'000;
 
+// Half of the memory is for what connections hold at once; the rest is for the program, its records and
+// lists.
+constexpr std::size_t kPartForBuffers = 2;
+
 Micros stopWithin(const Settings& settings) {
   Micros longest = 0;
   for (const ClassSettings& entry : settings.classes) longest = std::max(longest, entry.deadline);
@@ -53,6 +57,7 @@
             router_.membersChanged({MembersChanged::Scope::Failed, {}});
           }),
       listener_(loop, router_, pool_, budget_, observer) {
+  loop.memory().setLimit(config.memory / kPartForBuffers);
   router_.onSubscribe([this] { watch_.subscribe(); });
 }
 
--- a/src/protocol/pg_client.cpp
+++ b/src/protocol/pg_client.cpp
@@ -42,14 +42,13 @@
   answer_ = Answer{};
 }
 
-// A row of one column.
+// A row of one column. NULL is no value that a member made.
 bool PgClient::readRow(const Cut& cut) {
   if (cut.body.size() < 6 || readU16(cut.body, 0) != 1) return false;
   const std::uint32_t size = readU32(cut.body, 2);
-  const bool null = size == 0xFFFFFFFF;
-  if (cut.body.size() - 6 != (null ? 0 : size)) return false;
+  if (cut.body.size() - 6 != size) return false;
   answer_.dataRow = {seen_, cut.size};
-  answer_.value = {seen_ + kHeaderSize + 6, null ? 0 : size};
+  answer_.value = {seen_ + kHeaderSize + 6, size};
   return true;
 }
 
--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -61,6 +61,12 @@
 void ClientSession::onInput() {
   readAt_ = loop_.now();
   process();
+  // Guards memory: a message for which there is none is turned away, so that others get theirs.
+  if (!stream_.stalled() || partSince_ == 0 || busy_ || over_ || ending_) return;
+  ++observer_.counters.memoryRefusals;
+  observer_.note(Topic::Limits, "a client's message was turned away: no memory is left for it");
+  protocol::writeError(stream_.output(), true, sqlstate::kTooManyConnections, "no memory is left");
+  endAfterOutput();
 }
 
 void ClientSession::onDrained() {
@@ -192,6 +198,14 @@
 }
 
 void ClientSession::served(const protocol::Answer& answer, std::string_view bytes) {
+  const std::size_t size = answer.rowDescription.size + answer.dataRow.size + answer.commandComplete.size;
+  // Guards the client against half an answer. One that is whole here and can't be held has run: it has
+  // failed.
+  if (!stream_.output().reserve(stream_.output().size() + size)) {
+    ++observer_.counters.memoryRefusals;
+    observer_.note(Topic::Limits, "an answer was not passed on: no memory is left for it");
+    return failed();
+  }
   // The member's own messages, byte for byte.
   stream_.output().append(answer.rowDescription.of(bytes));
   stream_.output().append(answer.dataRow.of(bytes));
--- a/src/routing/member_connection.cpp
+++ b/src/routing/member_connection.cpp
@@ -67,8 +67,8 @@
   const std::string_view bytes = stream_.input().view();
   switch (client_.feed(bytes)) {
     case Event::NeedMore:
-      // An answer longer than any that is allowed would wait for ever.
-      if (stream_.input().full()) break;
+      // An answer longer than any that is allowed, or than there is memory for, would wait for ever.
+      if (stream_.stalled()) break;
       return;
     case Event::Ready:
       startLimit_.disarm();
@@ -94,8 +94,8 @@
   Exchange* exchange = std::exchange(exchange_, nullptr);
   const Stage reached = stage();
   const bool whole = cause == ExchangeEnd::Cause::Answered || cause == ExchangeEnd::Cause::Unwanted;
-  const bool keep =
-      whole && client_.usable() && !stream_.closed() && client_.seen() == stream_.input().size();
+  const bool keep = whole && client_.usable() && !stream_.closed() &&
+                    client_.seen() == stream_.input().size() && stream_.output().empty();
   if (!up_) owner_.onConnectFailed(*this);
   // Closed first: the exchange may lead to a next attempt, and none goes out while this one is open.
   if (!keep) {
--- a/src/routing/observer.h
+++ b/src/routing/observer.h
@@ -42,6 +42,8 @@
   std::uint64_t discoveryCalls = 0;
   std::uint64_t discoveryFailures = 0;
   std::uint64_t listsTaken = 0;
+  // Messages and answers for which there was no memory.
+  std::uint64_t memoryRefusals = 0;
   // Descriptors in use for clients and members, now and at the most.
   std::uint64_t descriptors = 0;
   std::uint64_t descriptorsPeak = 0;
--- a/src/routing/outcome.cpp
+++ b/src/routing/outcome.cpp
@@ -9,6 +9,10 @@
 using Kind = protocol::Answer::Kind;
 
 using transport::kMicrosPerMilli;
+// PROTOCOL, Discovery: all machines read one clock. A position further ahead of it than this can't be meant.
+// Guards against one that would make a replica look current, or a member the primary, for ever.
+constexpr Micros kAheadAtMost = 1'000'000;
+constexpr std::int64_t kOne = 1'000'000;  // in the millionths of a Decimal
 
 std::string_view codeOf(const ExchangeEnd& end) {
   return end.answer == nullptr ? std::string_view() : end.answer->code.of(end.bytes);
@@ -38,15 +42,18 @@
   return Outcome::Error;
 }
 
-Report readReport(const settings::InstanceSettings& settings, std::string_view text) {
+Report readReport(const settings::InstanceSettings& settings, std::string_view text, Micros now) {
   const settings::ReportLayout& layout = settings.report;
   Report report;
   if (const auto position = numberAt(layout, layout.position, text); position && position->micros > 0) {
+    // What tells of the future can't be read, and nothing beside it is believed.
+    if (position->micros > now + kAheadAtMost) return {};
     // It may have been rounded up by as much as its last digit.
     report.position = position->micros - position->step;
   }
-  if (const auto role = numberAt(layout, layout.role, text)) {
-    report.role = role->micros >= 500'000 ? Role::Primary : Role::Replica;
+  if (const auto role = numberAt(layout, layout.role, text);
+      role && role->micros >= 0 && role->micros <= kOne) {
+    report.role = role->micros * 2 >= kOne ? Role::Primary : Role::Replica;
   }
   if (const auto held = numberAt(layout, layout.held, text)) {
     report.held = static_cast<double>(held->micros) / 1e6;
@@ -54,22 +61,25 @@
   return report;
 }
 
-void readNews(const settings::InstanceSettings& settings, const ExchangeEnd& end, AttemptEnded& event) {
+void readNews(const settings::InstanceSettings& settings, const ExchangeEnd& end, Micros now,
+              AttemptEnded& event) {
   if (end.cause != ExchangeEnd::Cause::Answered) return;
   const protocol::Answer& answer = *end.answer;
   if (answer.primary) event.role = *answer.primary ? Role::Primary : Role::Replica;
-  if (answer.positionMs) event.position = *answer.positionMs * kMicrosPerMilli;
-  event.report = readReport(settings, answer.report.of(end.bytes));
+  const Micros latest = now + kAheadAtMost;
+  if (answer.positionMs && *answer.positionMs <= latest / kMicrosPerMilli)
+    event.position = *answer.positionMs * kMicrosPerMilli;
+  event.report = readReport(settings, answer.report.of(end.bytes), now);
 }
 
-ProbeEnded probeEndOf(const settings::InstanceSettings& settings, const ExchangeEnd& end) {
+ProbeEnded probeEndOf(const settings::InstanceSettings& settings, const ExchangeEnd& end, Micros now) {
   ProbeEnded event;
   // It lives, and has told nothing.
   event.turnedAway = end.cause == ExchangeEnd::Cause::Spoilt && end.stage != Stage::Connecting;
   if (end.answer == nullptr) return event;
   if (end.answer->kind == Kind::Row) {
     event.ok = true;
-    event.report = readReport(settings, end.answer->value.of(end.bytes));
+    event.report = readReport(settings, end.answer->value.of(end.bytes), now);
   } else {
     const std::string_view code = codeOf(end);
     event.turnedAway = code == sqlstate::kTooManyConnections || code == sqlstate::kCannotConnectNow;
--- a/src/routing/outcome.h
+++ b/src/routing/outcome.h
@@ -12,10 +12,11 @@
 Outcome outcomeOf(const ExchangeEnd& end);
 
 // The role, position and report that came with an answer.
-void readNews(const settings::InstanceSettings& settings, const ExchangeEnd& end, AttemptEnded& event);
-// A load report as text, rounded so that it never claims too much.
-Report readReport(const settings::InstanceSettings& settings, std::string_view text);
+void readNews(const settings::InstanceSettings& settings, const ExchangeEnd& end, Micros now,
+              AttemptEnded& event);
+// A load report as text, rounded so that it never claims too much; empty where it can't be read.
+Report readReport(const settings::InstanceSettings& settings, std::string_view text, Micros now);
 // A probe's answer.
-ProbeEnded probeEndOf(const settings::InstanceSettings& settings, const ExchangeEnd& end);
+ProbeEnded probeEndOf(const settings::InstanceSettings& settings, const ExchangeEnd& end, Micros now);
 
 }  // namespace heathflow::routing
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -87,7 +87,7 @@
     return protocol::writeQuery(out, kProbeStatement, {}, {});
   }
   void onExchangeEnd(const ExchangeEnd& end) override {
-    router.probeEnded(*this, probeEndOf(router.settings_, end));
+    router.probeEnded(*this, probeEndOf(router.settings_, end, router.loop_.now()));
   }
 
   Router& router;
@@ -264,7 +264,7 @@
   event.member = attempt.member;
   event.outcome = outcome;
   event.elapsed = loop_.now() - attempt.startedAt;
-  if (end != nullptr) readNews(settings_, *end, event);
+  if (end != nullptr) readNews(settings_, *end, loop_.now(), event);
   --state.pending;
   Requester* requester = state.requester;
   if (outcome == Outcome::Ok && requester != nullptr) {
--- a/src/transport/buffer.cpp
+++ b/src/transport/buffer.cpp
@@ -14,7 +14,6 @@
 
 }  // namespace
 
-// Makes room for 'size' bytes in all, from the start of what is held.
 bool Buffer::reserve(std::size_t wanted) {
   if (wanted > limit_) return false;
   if (wanted <= capacity_ - begin_) return true;
@@ -23,6 +22,9 @@
     std::memmove(data_.get(), data_.get() + begin_, held);
   } else {
     const std::size_t next = std::min(limit_, std::max({kFirst, wanted, 2 * capacity_}));
+    // Guards the process: what is not to be had now is refused here, where its user can say so.
+    if (budget_ != nullptr && next > kFirst && !budget_->take(next)) return false;
+    if (budget_ != nullptr && capacity_ > kFirst) budget_->giveBack(capacity_);
     auto grown = std::make_unique_for_overwrite<char[]>(next);
     if (held != 0) std::memcpy(grown.get(), data_.get() + begin_, held);
     data_ = std::move(grown);
@@ -56,6 +58,7 @@
 }
 
 void Buffer::release() {
+  if (budget_ != nullptr && capacity_ > kFirst) budget_->giveBack(capacity_);
   data_.reset();
   capacity_ = begin_ = end_ = 0;
 }
--- a/src/transport/buffer.h
+++ b/src/transport/buffer.h
@@ -5,12 +5,17 @@
 #include <memory>
 #include <string_view>
 
+#include "transport/memory_budget.h"
+
 namespace heathflow::transport {
 
 class Buffer {
  public:
-  // Holds up to 'limit' bytes.
-  explicit Buffer(std::size_t limit) : limit_(limit) {}
+  // Holds up to 'limit' bytes. What is large of it is taken from the budget, where there is one.
+  explicit Buffer(std::size_t limit, MemoryBudget* budget = nullptr) : limit_(limit), budget_(budget) {}
+  ~Buffer() { release(); }
+  Buffer(const Buffer&) = delete;
+  Buffer& operator=(const Buffer&) = delete;
 
   // What stands in it. Valid until the next change; offsets into it stay valid until something is consumed.
   std::string_view view() const { return {data_.get() + begin_, end_ - begin_}; }
@@ -27,17 +32,18 @@
   Room room();
   void filled(std::size_t size) { end_ += size; }
 
-  // False, and nothing taken, where the limit would be passed.
+  // False, and nothing taken, where the limit would be passed or the budget has no more.
   bool append(std::string_view bytes);
 
   void consume(std::size_t size);
   // Lets go of all that is held, and of its memory.
   void release();
-
- private:
+  // Makes room for so many bytes in all.
   bool reserve(std::size_t size);
 
+ private:
   std::size_t limit_;
+  MemoryBudget* budget_;
   std::unique_ptr<char[]> data_;
   std::size_t capacity_ = 0;
   std::size_t begin_ = 0;
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <set>
 #include <utility>
@@ -10,6 +11,7 @@
 
 #include "transport/clock.h"
 #include "transport/fd.h"
+#include "transport/memory_budget.h"
 
 namespace heathflow::transport {
 
@@ -49,6 +51,9 @@
     retired_.push_back(std::shared_ptr<void>(std::move(object)));
   }
 
+  // What the buffers of all connections on this loop may take.
+  MemoryBudget& memory() { return memory_; }
+
   static constexpr Micros kForever = -1;
 
  private:
@@ -56,6 +61,7 @@
   void wait(Micros most);
   void runTimers();
 
+  MemoryBudget memory_{std::numeric_limits<std::size_t>::max()};
   UniqueFd epoll_;
   Clock clock_;
   Micros now_ = 0;
--- a/src/transport/stream.cpp
+++ b/src/transport/stream.cpp
@@ -16,7 +16,10 @@
 }  // namespace
 
 Stream::Stream(EventLoop& loop, StreamOwner& owner, Limits limits)
-    : loop_(loop), owner_(owner), input_(limits.input), output_(limits.output) {}
+    : loop_(loop),
+      owner_(owner),
+      input_(limits.input, &loop.memory()),
+      output_(limits.output, &loop.memory()) {}
 
 bool Stream::adopt(UniqueFd fd) {
   fd_ = std::move(fd);
--- a/src/transport/stream.h
+++ b/src/transport/stream.h
@@ -46,6 +46,8 @@
   bool closed() const { return !fd_; }
   // Hands as much of the output to the kernel as it takes.
   void flush();
+  // Whether there was more to read than the input, or the memory of all, has room for.
+  bool stalled() const { return stalled_; }
   // Reads on after the owner has made room in a full input.
   void resume();
   // Whether nothing has come in unnoticed: no bytes, no close, no error.
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -18,6 +18,7 @@
   long idleMs = 600'000;
   long maxAgeMs = 3'000'000;
   std::size_t sockets = 256;
+  std::size_t memoryMb = 192;
 };
 
 inline std::string settingsText(const GatewayOptions& options) {
@@ -62,8 +63,8 @@
 inline std::string configText(const GatewayOptions& options, const std::string& discovery,
                               const std::string& known) {
   return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery +
-         "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" +
-         std::to_string(options.sockets) +
+         "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":" +
+         std::to_string(options.memoryMb) + ",\"sockets\":" + std::to_string(options.sockets) +
          "},\"known\":{\"revision\":1,\"complete\":true,\"members\":" + known +
          "},\"settings\":" + settingsText(options) + "}";
 }
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -180,41 +180,14 @@
 // no reset overtakes the error.
 TEST(GatewayClients, ThatSendFarTooMuchGetTheirErrorAndAreReadToTheirEnd) {
   GatewayRig rig;
-  const transport::Opened opened = transport::startConnect(rig.endpoint);
-  ASSERT_TRUE(opened.fd);
-  const int fd = opened.fd.get();
-  using Kind = transport::Transfer::Kind;
-  const auto sendAll = [&](std::string_view bytes) {
-    bool failed = false;
-    const bool over = rig.until([&] {
-      while (!bytes.empty() && !failed) {
-        const auto moved = transport::writeSome(fd, bytes.data(), bytes.size());
-        if (moved.kind == Kind::WouldBlock) return false;
-        failed = moved.kind != Kind::Done;
-        bytes.remove_prefix(moved.size);
-      }
-      return true;
-    });
-    return over && !failed;
-  };
-  ASSERT_TRUE(sendAll(pg::startup() + "Q" + pg::u32(60'000'000)));
+  PlainSocket bad(rig.loop, rig.endpoint);
+  ASSERT_TRUE(bad.send(pg::startup() + "Q" + pg::u32(60'000'000)));
   const std::string piece(1'000'000, 'x');
-  for (int i = 0; i < 60; ++i) ASSERT_TRUE(sendAll(piece)) << i;
-  transport::endSending(fd);
-  std::string got;
-  Kind last = Kind::Done;
-  ASSERT_TRUE(rig.until([&] {
-    char bytes[4096];
-    const auto moved = transport::readSome(fd, bytes, sizeof bytes);
-    last = moved.kind;
-    got.append(bytes, moved.size);
-    return last == Kind::Closed || last == Kind::Failed;
-  }));
-  EXPECT_EQ(last, Kind::Closed) << "no reset";
-  const auto messages = pg::cut(got);
-  ASSERT_FALSE(messages.empty());
-  EXPECT_EQ(messages.back().type, 'E');
-  EXPECT_EQ(pg::field(messages.back().body, 'C'), "08P01");
+  for (int i = 0; i < 60; ++i) ASSERT_TRUE(bad.send(piece)) << i;
+  bad.endSending();
+  EXPECT_TRUE(bad.gone());
+  EXPECT_FALSE(bad.reset);
+  EXPECT_EQ(bad.lastCode(), "08P01");
   EXPECT_TRUE(rig.until([&] { return rig.counters().descriptors == 0; }));
 }
 
@@ -663,6 +636,33 @@
   EXPECT_EQ(rig.counters().clientsTurnedAway, 0U);
 }
 
+// Guards the process's memory: long messages that are never finished can take no more than their part of it.
+TEST(GatewayLimits, MessagesThatThereIsNoMemoryForAreTurnedAway) {
+  GatewayOptions options;
+  options.memoryMb = 1;
+  GatewayRig rig(options);
+  const std::string begun = pg::startup() + "Q" + pg::u32(130'000) + std::string(120'000, 'x');
+  std::vector<std::unique_ptr<PlainSocket>> greedy;
+  for (int i = 0; i < 8; ++i) {
+    greedy.push_back(std::make_unique<PlainSocket>(rig.loop, rig.endpoint));
+    ASSERT_TRUE(greedy.back()->send(begun));
+  }
+  ASSERT_TRUE(rig.until([&] { return rig.counters().memoryRefusals >= 1; }));
+  EXPECT_LE(rig.loop.memory().taken(), 500'000U);
+  ClientStandIn usual(rig.loop, rig.endpoint);
+  usual.ask(request("any", "1"));
+  ASSERT_TRUE(usual.answered());
+  EXPECT_EQ(usual.types(), "TDCZ");
+  std::size_t refused = 0;
+  for (auto& client : greedy) {
+    EXPECT_TRUE(client->gone());
+    EXPECT_FALSE(client->reset);
+    refused += client->lastCode() == "53300" ? 1 : 0;
+  }
+  EXPECT_EQ(refused, rig.counters().memoryRefusals);
+  EXPECT_LT(rig.loop.memory().taken(), 100'000U) << "given back";
+}
+
 // Guards the places of clients against those that ask once and stay.
 TEST(GatewayLimits, ClientsThatRestGiveTheirPlacesBackOnceManyAreTaken) {
   // A sixth of the sixty that are not kept back may rest for as long as they like.
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -477,7 +477,9 @@
 TEST(Answers, RequestsOfUnknownGroupsAndClassesEndInTime) {
   Rig rig;
   rig.usualGroup();
+  // A group that only a client names is not waited for, nor kept.
   const auto group = rig.ask(kUnsafeWrite, 400 * kMs, {}, 0, 99);
+  EXPECT_EQ(rig.refusals(group), 1);
   const auto index = rig.ask(77);
   EXPECT_EQ(rig.refusals(index), 1);
   rig.pass(400 * kMs);
@@ -565,6 +567,27 @@
   }
 }
 
+// Guards the even parts of a group whose members are replaced again and again: those that are gone are none
+// of it.
+TEST(Roles, MembersThatAreGoneAreNoPartOfTheirGroupForLong) {
+  KnownRig rig;
+  std::vector<Member> replaced;
+  for (MemberId id = 100; id < 160; ++id) replaced.push_back(makeMember(id));
+  rig.list(replaced, MembersChanged::Scope::Delta);
+  for (Member& member : replaced) member.state = MemberState::Gone;
+  rig.list(replaced, MembersChanged::Scope::Delta);
+  rig.pass(11 * kS);
+  rig.list({makeMember(3)}, MembersChanged::Scope::Delta);
+  rig.usualRecord();
+  rig.end(rig.ask(kUnsafeWrite), 0, Outcome::Ok, Role::Primary);
+  for (int i = 0; i < 20; ++i) rig.end(rig.ask(kAny), 0, Outcome::Ok, Role::Replica);
+  // No replica is current enough: a probe is on its way, and an idle primary with less than its part takes
+  // the read.
+  rig.pass(4 * kS);
+  rig.forget();
+  EXPECT_EQ(rig.sentTo(rig.ask(kBounded)), Members{1});
+}
+
 TEST(Advice, OneTheListHasNeverNamedAsRunningGetsNothing) {
   Rig rig(adviceSettings());
   rig.list({makeMember(1, true), makeMember(2), makeMember(3, false, MemberState::Gone)});
--- a/tests/outcome_test.cpp
+++ b/tests/outcome_test.cpp
@@ -15,6 +15,8 @@
 namespace pg = test::pg;
 using Cause = ExchangeEnd::Cause;
 
+constexpr Micros kNow = 1767225601000000;
+
 settings::InstanceSettings socketSettings() { return settings::parseSettings(test::settingsText({})); }
 
 // A member's answer to one query, as the client side read it.
@@ -55,7 +57,7 @@
   for (const Stage stage : {Stage::Connecting, Stage::PartlyWritten}) {
     EXPECT_EQ(outcomeOf({Cause::Spoilt, stage, nullptr, {}}), Outcome::ConnectFailed);
   }
-  const ProbeEnded probe = probeEndOf(socketSettings(), {Cause::Spoilt, Stage::Answering, nullptr, {}});
+  const ProbeEnded probe = probeEndOf(socketSettings(), {Cause::Spoilt, Stage::Answering, nullptr, {}}, kNow);
   EXPECT_FALSE(probe.ok);
   EXPECT_TRUE(probe.turnedAway) << "it lives";
 }
@@ -81,12 +83,12 @@
                   pg::parameter("wal_time", "1767225600123") +
                   pg::parameter("stats", "x0=1767225600.123,x1=0") + pg::ready());
   AttemptEnded event;
-  readNews(settings, read.end(), event);
+  readNews(settings, read.end(), kNow, event);
   EXPECT_EQ(event.role, Role::Primary);
   EXPECT_EQ(event.position, 1767225600123000);
   EXPECT_EQ(event.report.role, Role::Replica);
   AttemptEnded silent;
-  readNews(settings, Read(pg::row("v") + pg::ready()).end(), silent);
+  readNews(settings, Read(pg::row("v") + pg::ready()).end(), kNow, silent);
   EXPECT_FALSE(silent.role);
   EXPECT_FALSE(silent.position);
   EXPECT_FALSE(silent.report.position);
@@ -95,31 +97,61 @@
 // Guards the rule on stale reads: a position is never taken for newer than it may be.
 TEST(LoadReportValues, AreRoundedSoThatTheyNeverClaimTooMuch) {
   const settings::InstanceSettings settings = socketSettings();
-  EXPECT_EQ(readReport(settings, "x0=1767225600.123,x1=1").position, 1767225600122000);
-  EXPECT_EQ(readReport(settings, "x0=1767225600,x1=1").position, 1767225599000000);
-  EXPECT_EQ(readReport(settings, "x0=1767225600.123456").position, 1767225600123455);
-  EXPECT_EQ(readReport(settings, "x1=1").role, Role::Primary);
-  EXPECT_EQ(readReport(settings, "x1=0").role, Role::Replica);
+  EXPECT_EQ(readReport(settings, "x0=1767225600.123,x1=1", kNow).position, 1767225600122000);
+  EXPECT_EQ(readReport(settings, "x0=1767225600,x1=1", kNow).position, 1767225599000000);
+  EXPECT_EQ(readReport(settings, "x0=1767225600.123456", kNow).position, 1767225600123455);
+  EXPECT_EQ(readReport(settings, "x1=1", kNow).role, Role::Primary);
+  EXPECT_EQ(readReport(settings, "x1=0", kNow).role, Role::Replica);
   for (const char* text : {"", "x0=,x1=", "x0=soon,x1=yes", "y0=1,y1=1", "x0=-5"}) {
-    const Report report = readReport(settings, text);
+    const Report report = readReport(settings, text, kNow);
+    EXPECT_FALSE(report.position) << text;
+    EXPECT_FALSE(report.role) << text;
+  }
+}
+
+// Guards against a report that can't be meant: it would hold for ever, for positions and claims to lead never
+// go back.
+TEST(LoadReportValues, AreNotBelievedWhereTheyCanNotBeMeant) {
+  const settings::InstanceSettings settings = socketSettings();
+  for (const char* text :
+       {"x0=1767225603.000,x1=1", "x0=999999999999,x1=1", "x0=soon,x1=7", "x1=-1", "x0=1e9"}) {
+    const Report report = readReport(settings, text, kNow);
     EXPECT_FALSE(report.position) << text;
     EXPECT_FALSE(report.role) << text;
   }
+  // The answer beside it counts all the same.
+  const Read read(pg::row("v") + pg::parameter("mode", "read-write") +
+                  pg::parameter("wal_time", "1999999999999") + pg::parameter("stats", "x0=1999999999,x1=0") +
+                  pg::ready());
+  EXPECT_EQ(outcomeOf(read.end()), Outcome::Ok);
+  AttemptEnded event;
+  readNews(settings, read.end(), kNow, event);
+  EXPECT_EQ(event.role, Role::Primary);
+  EXPECT_FALSE(event.position);
+  EXPECT_FALSE(event.report.position);
+  EXPECT_FALSE(event.report.role);
+}
+
+TEST(OutcomeTable, NullIsNoValue) {
+  const Read read(pg::rowDescription() + pg::message('D', pg::u16(1) + pg::u32(0xFFFFFFFF)) + pg::complete() +
+                  pg::ready());
+  EXPECT_NE(read.client.answer().kind, protocol::Answer::Kind::Row);
 }
 
 TEST(ProbeAnswers, TellAliveTurnedAwayAndDeadApart) {
   const settings::InstanceSettings settings = socketSettings();
-  const ProbeEnded alive = probeEndOf(settings, Read(pg::row("x0=1767225600.5,x1=1") + pg::ready()).end());
+  const ProbeEnded alive =
+      probeEndOf(settings, Read(pg::row("x0=1767225600.5,x1=1") + pg::ready()).end(), kNow);
   EXPECT_TRUE(alive.ok);
   EXPECT_EQ(alive.report.role, Role::Primary);
   for (const char* code : {"53300", "57P03"}) {
-    const ProbeEnded away = probeEndOf(settings, Read(pg::error(code) + pg::ready()).end());
+    const ProbeEnded away = probeEndOf(settings, Read(pg::error(code) + pg::ready()).end(), kNow);
     EXPECT_FALSE(away.ok);
     EXPECT_TRUE(away.turnedAway) << code;
   }
-  const ProbeEnded refused = probeEndOf(settings, Read(pg::error("42501") + pg::ready()).end());
+  const ProbeEnded refused = probeEndOf(settings, Read(pg::error("42501") + pg::ready()).end(), kNow);
   EXPECT_FALSE(refused.ok || refused.turnedAway);
-  const ProbeEnded dead = probeEndOf(settings, {Cause::Broken, Stage::Connecting, nullptr, {}});
+  const ProbeEnded dead = probeEndOf(settings, {Cause::Broken, Stage::Connecting, nullptr, {}}, kNow);
   EXPECT_FALSE(dead.ok || dead.turnedAway);
 }
 
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -113,6 +113,7 @@
       {without("\"listen\":\"127.0.0.1:0\",", ""), "'listen'"},
       {without("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"nowhere\""), "'listen'"},
       {without("\"seed\":\"8c1f30d27a5be964\"", "\"seed\":\"xyz\""), "'seed'"},
+      {without("\"memory_mb\":192", "\"memory_mb\":-1"), "'memory_mb'"},
       {without("\"sockets\":256", "\"sockets\":\"many\""), "'sockets'"},
       {without("\"known\":{\"revision\":1,", "\"known\":{"), "'known'"},
       {without("\"MaxAttempts\":10,", ""), "'MaxAttempts'"},
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -282,4 +282,56 @@
   std::vector<pg::Message> messages_;
 };
 
+// A client without manners: a socket and nothing around it, so that it goes on whatever it is told.
+class PlainSocket {
+ public:
+  PlainSocket(transport::EventLoop& loop, const transport::Endpoint& gateway)
+      : loop_(loop), opened_(transport::startConnect(gateway)) {}
+
+  // False where the peer has reset the connection.
+  bool send(std::string_view bytes) {
+    bool failed = !opened_.fd;
+    const bool over = until(loop_, [&] {
+      while (!bytes.empty() && !failed) {
+        const auto moved = transport::writeSome(opened_.fd.get(), bytes.data(), bytes.size());
+        if (moved.kind == transport::Transfer::Kind::WouldBlock) return false;
+        failed = moved.kind != transport::Transfer::Kind::Done;
+        bytes.remove_prefix(moved.size);
+      }
+      return true;
+    });
+    return over && !failed;
+  }
+  void endSending() { transport::endSending(opened_.fd.get()); }
+  // What has come so far; 'ended' and 'reset' say how it ended, if it has.
+  const std::string& read() {
+    char bytes[4096];
+    for (;;) {
+      const auto moved = transport::readSome(opened_.fd.get(), bytes, sizeof bytes);
+      got_.append(bytes, moved.size);
+      if (moved.kind == transport::Transfer::Kind::Done) continue;
+      reset = reset || moved.kind == transport::Transfer::Kind::Failed;
+      ended = reset || moved.kind == transport::Transfer::Kind::Closed;
+      return got_;
+    }
+  }
+  bool gone() {
+    return until(loop_, [&] { return read(), ended; });
+  }
+  // The code of the last message, where that is an error.
+  std::string lastCode() {
+    std::string bytes = read();
+    const auto messages = pg::cut(bytes);
+    return messages.empty() || messages.back().type != 'E' ? "" : pg::field(messages.back().body, 'C');
+  }
+
+  bool ended = false;
+  bool reset = false;
+
+ private:
+  transport::EventLoop& loop_;
+  transport::Opened opened_;
+  std::string got_;
+};
+
 }  // namespace heathflow::test
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -52,6 +52,27 @@
   EXPECT_LE(buffer.capacity(), 16U * 1024);
 }
 
+// Guards the memory of all connections together.
+TEST(BufferQueue, TakesWhatIsLargeFromTheBudgetAndGivesItBack) {
+  MemoryBudget budget(100'000);
+  {
+    Buffer first(80'000, &budget);
+    Buffer second(80'000, &budget);
+    ASSERT_TRUE(first.append(std::string(4000, 'x')));
+    EXPECT_EQ(budget.taken(), 0U) << "a small piece is always to be had";
+    ASSERT_TRUE(first.append(std::string(60'000, 'x')));
+    EXPECT_EQ(budget.taken(), first.capacity());
+    EXPECT_FALSE(second.append(std::string(60'000, 'y')));
+    EXPECT_TRUE(second.empty());
+    EXPECT_TRUE(second.append(std::string(4000, 'y')));
+    first.consume(64'000);
+    EXPECT_EQ(budget.taken(), 0U);
+    EXPECT_TRUE(second.append(std::string(60'000, 'y')));
+    EXPECT_EQ(second.size(), 64'000U);
+  }
+  EXPECT_EQ(budget.taken(), 0U);
+}
+
 TEST(ClockReadings, FollowTheWallForwardsAndNeverRunBack) {
   Clock clock;
   EXPECT_EQ(clock.follow(1000, 5'000'000), 5'000'000);
