A broken connection leaves its member alone only until a probe answers

Changed: a connection that broke or was turned away makes its member suspect until the probe that goes out at once has told. Only a failed probe, or three failures in a row, leave it alone, and only a member that then failed counts as lost and later as cold. What else it meets: proxies and load balancers that drop connections. It might hurt where a member dies and returns within a probe's time: the list's launch time is then the only sign that it is cold.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -59,7 +59,7 @@
 constexpr Micros kBlockLeast = 250 * kMillisecond, kBlockMost = 4 * kSecond;
 // For how long connections count as scarce after one was turned away.
 constexpr Micros kScarceFor = 4 * kSecond;
-// Time-outs and spoilt answers in a row that count as a failure.
+// Time-outs, broken connections and spoilt answers in a row that count as a failure.
 constexpr int kFailuresToBlock = 3;
 
 // Guards a jammed group where routers see too little to limit themselves member by member: requests are
@@ -159,17 +159,14 @@
   double slownessOf(const Peer& peer) const;
   double warmthOf(const Peer& peer) const;
   bool coldAllows(const Peer& peer, double cost) const;
-  bool blocked(const Peer& peer) const { return now_ < peer.blockedUntil; }
+  bool blocked(const Peer& peer) const { return now_ < std::max(peer.blockedUntil, peer.suspectUntil); }
   static bool ledLast(const Peer& peer, const Group& group) {
     return peer.primaryAt != kNever && peer.primaryAt == group.primaryAt;
   }
   bool takesPacks(const Peer& peer) const {
-    const bool stuck = peer.longReads > 0 && now_ >= peer.progressDue;
-    return peer.ready && !peer.doubted && !blocked(peer) && !stuck;
-  }
-  Micros progressDue(std::size_t of) const {
-    return now_ + part(kPackPatience, Micros(latencies_[of].value));
+    return peer.ready && !peer.doubted && !blocked(peer) && (peer.longReads == 0 || now_ < peer.progressDue);
   }
+  Micros progressDue(std::size_t i) const { return now_ + part(kPackPatience, Micros(latencies_[i].value)); }
   // Guards against ghosts: one that nothing but the list vouches for and that failed gets probes only.
   bool ghost(const Peer& peer) const { return peer.strikes > 0 && peer.doubted; }
   double limitOf(const Peer& peer) const { return peer.strikes > 0 ? std::min(1.0, peer.limit) : peer.limit; }
@@ -408,6 +405,7 @@
   Peer* peer = find(event.member);
   if (peer == nullptr) return;
   peer->probing = false;
+  peer->suspectUntil = kNever;
   if (event.ok) {
     heard(*peer);
     peer->blockedUntil = kNever;
@@ -422,7 +420,8 @@
 
 // A failure of the member: leave it alone for a while. Many attempts that break together are one failure.
 void Logic::Impl::strike(Peer& peer) {
-  if (blocked(peer)) return;
+  peer.lost = peer.lost || peer.broken;
+  if (now_ < peer.blockedUntil) return;
   peer.strikes = std::min(peer.strikes + 1, 8);
   peer.failures = 0;
   peer.blockedUntil = now_ + std::min(kBlockMost, kBlockLeast << (peer.strikes - 1));
@@ -434,7 +433,7 @@
   peer.heardAt = now_;
   peer.doubted = false;
   if (peer.lost) peer.returnedAt = now_;
-  peer.lost = false;
+  peer.lost = peer.broken = false;
   peer.strikes = peer.failures = 0;
 }
 
@@ -449,17 +448,19 @@
     if (event.position) learnPosition(peer, *event.position);
   }
   learnReport(peer, event.report);
-  if (event.outcome == Outcome::Reset) peer.lost = true;
-  if (event.outcome == Outcome::ConnectFailed) {
+  const bool reset = event.outcome == Outcome::Reset;
+  peer.broken = peer.broken || reset;
+  if (reset || event.outcome == Outcome::ConnectFailed) {
     // Turned away at once and not for want of an answer: it is dead, or its connections are all taken.
-    const bool slow = event.elapsed >= settings_.connectTimeout / 2;
+    const bool slow = !reset && event.elapsed >= settings_.connectTimeout / 2;
     if (slow) slowConnectAt_ = now_;
-    peer.refused = peer.refused || !slow;
-    if (!slow) probe(peer);
+    peer.refused = peer.refused || (!reset && !slow && event.mayBeFull);
+    // Guards a living member against being taken for dead, and then for cold, for one broken connection.
+    if (slow || !(probe(peer) || peer.probing)) strike(peer);
+    if (!slow) peer.suspectUntil = now_ + settings_.connectTimeout;
   }
-  if (event.outcome == Outcome::ConnectFailed || event.outcome == Outcome::Reset) return strike(peer);
-  // Guards a member against being taken for dead, and then for cold, for one answer that can't be read.
-  const bool useless = event.outcome == Outcome::TimedOut || event.outcome == Outcome::Spoilt;
+  // The same against one answer that can't be read.
+  const bool useless = reset || event.outcome == Outcome::TimedOut || event.outcome == Outcome::Spoilt;
   if (useless && ++peer.failures >= kFailuresToBlock) strike(peer);
   // Guards against a member that is down without a word: our few requests there would not tell for long.
   if (event.outcome == Outcome::TimedOut && peer.heardAt <= sentAt && now_ - peer.probedAt > kBlockLeast)
@@ -629,8 +630,8 @@
 void Logic::Impl::on(const RequestArrived& event) {
   const Request& request = event.request;
   // Guards memory against groups that only a client names.
-  const bool known = request.classIndex < arrivals_.size() && groups_.contains(request.group);
-  if (!known || request.deadline <= now_ || now_ >= stopsAt_) {
+  if (request.classIndex >= arrivals_.size() || !groups_.contains(request.group) ||
+      request.deadline <= now_ || now_ >= stopsAt_) {
     act(Refuse{request.id, 0});
     return;
   }
@@ -677,8 +678,7 @@
 void Logic::Impl::place(Job& job, Group& group) {
   if (!mayRepeat(job, nullptr) || now_ >= giveUpAt(job)) return conclude(job);
   if (tryPlace(job, group)) return;
-  // A marked repeat most likely has spent its aim on earlier tries: where late is worth nothing it never
-  // waits.
+  // A marked repeat has most likely spent its aim already: where late is worth nothing it never waits.
   if (job.request.repeat && classOf(job).lateShare <= 0) return conclude(job);
   hold(job, group);
 }
--- a/src/logic.h
+++ b/src/logic.h
@@ -106,6 +106,7 @@
   Outcome outcome = Outcome::Error;
   Micros elapsed = 0;
   bool finished = false;  // the request is over
+  bool mayBeFull = true;  // of one that could not connect: it may be for want of connections at the member
   std::optional<Role> role;
   std::optional<Position> position;  // of the member, or of the commit when a write succeeded
   Report report;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -264,6 +264,8 @@
   event.member = attempt.member;
   event.outcome = outcome;
   event.elapsed = loop_.now() - attempt.startedAt;
+  // A member that has no room for a connection says so.
+  event.mayBeFull = end != nullptr && end->cause == ExchangeEnd::Cause::TurnedDown;
   if (end != nullptr) readNews(settings_, *end, loop_.now(), event);
   --state.pending;
   Requester* requester = state.requester;
--- a/src/state.h
+++ b/src/state.h
@@ -46,6 +46,7 @@
   int strikes = 0;
   int failures = 0;  // time-outs in a row
   Micros blockedUntil = kNever;
+  Micros suspectUntil = kNever;  // something broke, and a probe is to tell whether it lives
   Micros heardAt = kNever;
   Micros namedAt = kNever;    // by the list
   std::uint64_t namedIn = 0;  // the newest list that did
@@ -54,7 +55,8 @@
   Micros lagAt = kNever;
   Micros lag = 0;              // how far behind it was last told to be, the age of the telling included
   bool refused = false;        // it turned a connection away, and a probe is to tell whether it lives
-  bool lost = false;           // its connections broke, and it has not answered since
+  bool broken = false;         // a connection broke under a request, and it has not answered since
+  bool lost = false;           // and it then failed: it most likely died
   Micros returnedAt = kNever;  // when it answered again
   Fading sent;                 // work sent to it, what it turned away included
   Fading taken;                // work it has answered
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -783,6 +783,7 @@
     do read = rig.ask(kAny);
     while (rig.sentTo(read).at(0) != 3);
     rig.end(read, 0, outcome);
+    rig.probeFailed(3);
     rig.now += 6 * kS;
     rig.probed(3, Role::Replica, rig.now);
     rig.forget();
@@ -806,6 +807,7 @@
   do read = rig.ask(kAny);
   while (rig.sentTo(read).at(0) != 2);
   rig.end(read, 0, Outcome::ConnectFailed);
+  rig.probeFailed(2);
   rig.forget();
   for (int i = 0; i < 4; ++i) EXPECT_EQ(rig.sentTo(rig.ask(kAny)), Members{3});
   rig.now += 5 * kS;
@@ -815,6 +817,37 @@
   EXPECT_EQ(std::count_if(sent.begin(), sent.end(), [](const Attempt& a) { return a.member == 2; }), 1);
 }
 
+// Guards a group against losing its primary, and then its capacity as cold, to a connection that broke: a
+// probe tells whether the member died, and until then nothing more goes there.
+TEST(Health, AMemberWhoseConnectionBrokeIsLeftAloneOnlyUntilAProbeAnswers) {
+  for (const Outcome outcome : {Outcome::Reset, Outcome::ConnectFailed}) {
+    KnownRig rig;
+    for (int i = 0; i < 40; ++i) rig.end(rig.ask(kUnsafeWrite), 0, Outcome::Ok, Role::Primary);
+    rig.usualRecord();
+    for (int i = 0; i < 10; ++i) {
+      rig.forget();
+      const auto broken = rig.ask(kUnsafeWrite);
+      ASSERT_EQ(rig.sentTo(broken), Members{1}) << i;
+      rig.end(broken, 0, outcome, {}, {}, kMs);
+      EXPECT_EQ(rig.probes(), 1U);
+      const auto next = rig.ask(kUnsafeWrite);
+      EXPECT_TRUE(rig.sentTo(next).empty());
+      rig.now += 2 * kMs;
+      rig.probed(1, Role::Primary, rig.now);
+      EXPECT_EQ(rig.sentTo(next), Members{1});
+      rig.end(next, 0, Outcome::Ok, Role::Primary);
+      const auto tries = static_cast<std::uint32_t>(rig.sentTo(broken).size());
+      if (tries == 2) rig.end(broken, 1, Outcome::Ok, Role::Primary);
+      // Not cold: as many at once as before.
+      for (int n = 0; n < 4; ++n) {
+        const auto more = rig.ask(kUnsafeWrite);
+        ASSERT_EQ(rig.sentTo(more), Members{1}) << i << " " << n;
+        rig.end(more, 0, Outcome::Ok, Role::Primary);
+      }
+    }
+  }
+}
+
 TEST(Health, IdleConnectionsAreClosedWhileALivingMemberTurnsConnectionsAway) {
   Rig rig;
   rig.usualGroup();
