--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -706,6 +706,37 @@
   for (std::size_t i = kStayed - kMayStay; i < kStayed; ++i) EXPECT_FALSE(clients[i]->ended());
 }
 
+// Guards a process that runs for long: members always new, clients, ids and keys too, each of which asks once
+// and stays.
+TEST(GatewayLimits, LevelOffHoweverMuchHasBeenSeen) {
+  constexpr std::size_t kRounds = 300;
+  GatewayRig rig(CrowdedRig::options(), 1);
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.waiting != nullptr; }));
+  const std::string replica = rig.members[0]->address();
+  std::vector<std::unique_ptr<ClientStandIn>> stay;
+  std::size_t most = 0;
+  for (std::size_t i = 0; i < kRounds; ++i) {
+    const std::string gone = i == 0 ? "" : "," + entry("r" + std::to_string(i - 1), replica, false, "Gone");
+    rig.discovery.tell("[" + entry("r" + std::to_string(i), replica, false) + gone + "]");
+    ASSERT_TRUE(rig.until([&] { return rig.discovery.waiting != nullptr; }));
+    stay.push_back(std::make_unique<ClientStandIn>(rig.loop, rig.endpoint));
+    stay.back()->ask(
+        request(i % 3 == 0 ? "save" : "any", "id" + std::to_string(i), ",k=" + std::to_string(i)));
+    ASSERT_TRUE(stay.back()->answered()) << i;
+    ASSERT_NE(stay.back()->types().find("TDCZ"), std::string::npos) << i << " " << stay.back()->code();
+    if (i >= kRounds / 2) most = std::max<std::size_t>(most, rig.counters().descriptors);
+  }
+  EXPECT_LE(most, 76U) << "a hundred less two dozen that are kept back";
+  EXPECT_EQ(rig.counters().requestsServed, kRounds);
+  EXPECT_LT(rig.loop.memory().taken(), 1'000'000U);
+  // Once they are left alone, those that stay are thinned out too.
+  EXPECT_TRUE(rig.until([&] {
+    std::size_t open = 0;
+    for (const auto& client : stay) open += client->ended() ? 0 : 1;
+    return open <= 15;
+  }));
+}
+
 // Guards those that have asked before against crowds that say nothing.
 TEST(GatewayLimits, SilentCrowdsMakeWayBeforeThoseThatHaveAsked) {
   GatewayRig rig(CrowdedRig::options());
