Read through once more: one way to say a last word, state that was an argument goes

Three places wrote a fatal error and ended the connection, each by itself; they call endWith. MemberConnection kept a mark only to hand it to its own finish, which now takes it.

--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -65,8 +65,7 @@
   if (!stream_.stalled() || partSince_ == 0 || busy_ || over_ || ending_) return;
   ++observer_.counters.memoryRefusals;
   observer_.note(Topic::Limits, "a client's message was turned away: no memory is left for it");
-  protocol::writeError(stream_.output(), true, sqlstate::kTooManyConnections, "no memory is left");
-  endAfterOutput();
+  endWith(sqlstate::kTooManyConnections, "no memory is left");
 }
 
 void ClientSession::onDrained() {
@@ -141,9 +140,7 @@
   asked_ = true;
   owner_.onSessionBusy(*this);
   if (turnedAway_) {
-    protocol::writeError(stream_.output(), true, sqlstate::kTooManyConnections, "too many clients");
-    stream_.input().consume(requestSize_);
-    return endAfterOutput();
+    return endWith(sqlstate::kTooManyConnections, "too many clients");
   }
   const auto comment = protocol::parseRequestComment(statement());
   if (!comment) return rejectRequest(sqlstate::kInvalidParameter, "the request can't be read");
@@ -239,6 +236,11 @@
   process();
 }
 
+void ClientSession::endWith(std::string_view code, std::string_view message) {
+  protocol::writeError(stream_.output(), true, code, message);
+  endAfterOutput();
+}
+
 // Guards the last word's way to a client that is still sending: what comes is dropped, and nothing of it is
 // held.
 void ClientSession::endAfterOutput() {
@@ -257,9 +259,7 @@
   if (stream_.input().empty()) return over();
   ++observer_.counters.clientProtocolErrors;
   observer_.note(Topic::Clients, "a message was not finished in time");
-  protocol::writeError(stream_.output(), true, sqlstate::kProtocolViolation,
-                       "the message was not finished in time");
-  endAfterOutput();
+  endWith(sqlstate::kProtocolViolation, "the message was not finished in time");
 }
 
 void ClientSession::turnAway() {
--- a/src/routing/client_session.h
+++ b/src/routing/client_session.h
@@ -65,6 +65,8 @@
   void rejectRequest(std::string_view code, std::string_view message);
   void overdue();
   void answered();
+  // Says a fatal error as the last word.
+  void endWith(std::string_view code, std::string_view message);
   void endAfterOutput();
   void over();
 
--- a/src/routing/member_connection.cpp
+++ b/src/routing/member_connection.cpp
@@ -91,7 +91,7 @@
 }
 
 // The exchange is over. The connection is kept where it can carry another.
-void MemberConnection::finish(ExchangeEnd::Cause cause, const protocol::Answer* answer) {
+void MemberConnection::finish(ExchangeEnd::Cause cause, const protocol::Answer* answer, bool dropped) {
   Exchange* exchange = std::exchange(exchange_, nullptr);
   const Stage reached = stage();
   const bool whole = cause == ExchangeEnd::Cause::Answered || cause == ExchangeEnd::Cause::Unwanted;
@@ -103,8 +103,7 @@
     startLimit_.disarm();
     stream_.close();
   }
-  if (exchange != nullptr)
-    exchange->onExchangeEnd({cause, reached, answer, stream_.input().view(), dropped_});
+  if (exchange != nullptr) exchange->onExchangeEnd({cause, reached, answer, stream_.input().view(), dropped});
   if (!keep) return owner_.onDone(*this, exchange == nullptr && up_);
   stream_.input().consume(client_.seen());
   client_.dropped();
@@ -114,8 +113,7 @@
 void MemberConnection::onEnd(transport::StreamEnd how) {
   // What was whole before the end counts as whole.
   if (client_.wholeAtEnd()) return finish(ExchangeEnd::Cause::Answered, &client_.answer());
-  dropped_ = opened_ && how != transport::StreamEnd::NotConnected;
-  finish(ExchangeEnd::Cause::Broken, nullptr);
+  finish(ExchangeEnd::Cause::Broken, nullptr, opened_ && how != transport::StreamEnd::NotConnected);
 }
 
 }  // namespace heathflow::routing
--- a/src/routing/member_connection.h
+++ b/src/routing/member_connection.h
@@ -78,7 +78,7 @@
   void onDrained() override {}
   void onEnd(transport::StreamEnd how) override;
   void writeQuery();
-  void finish(ExchangeEnd::Cause cause, const protocol::Answer* answer);
+  void finish(ExchangeEnd::Cause cause, const protocol::Answer* answer, bool dropped = false);
 
   transport::EventLoop& loop_;
   MemberConnectionOwner& owner_;
@@ -88,8 +88,7 @@
   transport::Timer startLimit_;
   protocol::PgClient client_;
   Exchange* exchange_ = nullptr;
-  bool opened_ = false;
-  bool dropped_ = false;
+  bool opened_ = false;  // the member's machine has taken it
   bool up_ = false;
   bool asked_ = false;  // the query has been handed to the stream
 };
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -360,9 +360,7 @@
   GatewayRig rig({}, 1);
   rig.members[0]->welcomes = false;
   ClientStandIn client(rig.loop, rig.endpoint);
-  client.ask(
-      "INSERT INTO rows (handle, blob) VALUES ('k', '\\x9f') RETURNING blob /* id=1,c=save,d=300,cluster=0 "
-      "*/");
+  client.ask(request("save", "1", "", 300));
   ASSERT_TRUE(client.answered());
   EXPECT_EQ(client.code(), "53300") << "nothing of it was written";
   EXPECT_EQ(rig.outcomes(Outcome::NeverSent), 1U);
@@ -373,9 +371,7 @@
   GatewayRig rig({}, 1);
   rig.answerAll([](Line&, const std::string&) {});
   ClientStandIn client(rig.loop, rig.endpoint);
-  client.ask(
-      "INSERT INTO rows (handle, blob) VALUES ('k', '\\x9f') RETURNING blob /* id=1,c=save,d=300,cluster=0 "
-      "*/");
+  client.ask(request("save", "1", "", 300));
   ASSERT_TRUE(client.answered());
   EXPECT_EQ(client.types(), "EZ");
   EXPECT_NE(client.code(), "53300");
@@ -428,9 +424,7 @@
   rig.members[0]->answer = rig.members[0]->probe = [](Line&, const std::string&) {};
   rig.members[0]->welcomes = false;
   clients[0]->forget();
-  clients[0]->ask(
-      "INSERT INTO rows (handle, blob) VALUES ('k', '\\x9f') RETURNING blob /* id=x,c=save,d=400,cluster=0 "
-      "*/");
+  clients[0]->ask(request("save", "x", "", 400));
   ASSERT_TRUE(clients[0]->answered());
   EXPECT_TRUE(
       rig.until([&] { return rig.members[0]->openLines() == 0 || rig.counters().probesFailed >= 2; }));
@@ -466,9 +460,7 @@
 
 // Guards the primary, and all that only it can serve, against one answer that can't be read: it is asked on.
 TEST(GatewayMembers, ThatSpoilAnAnswerAreAskedOn) {
-  GatewayOptions options;
-  options.aimMs = options.deadlineMs = 20'000;
-  GatewayRig rig(options, 1);
+  GatewayRig rig({}, 1);
   const std::string cut = pg::rowDescription() + "D" + pg::u32(0xFFFFFFF0U) + pg::u16(1);
   const std::string columns = pg::rowDescription() + pg::message('D', pg::u16(1) + pg::u32(0x7FFFFFFF) + "v");
   const std::string huge = pg::rowDescription() + "D" + pg::u32(3'000'000'010U) + pg::u16(1) + "vvv";
@@ -788,8 +780,7 @@
   std::string many;
   // More than two kernels hold.
   for (int i = 0; i < 600; ++i) {
-    many += pg::query("SELECT blob FROM rows WHERE handle = 'k' /* id=" + std::to_string(i) +
-                      ",c=any,d=400,cluster=0 */");
+    many += pg::query(request("any", std::to_string(i), "", 400));
   }
   rig.slow.say(many);
   EXPECT_TRUE(rig.until([&] { return rig.counters().clientsNotReading == 1; }));
