Reads go to a primary only by its own recent word; a dialled repeat keeps its window

Ruled out: positions (every replica's covered its bound), the list, half an answer in the input.

Change: for reads the list's word counts only while the member has not said otherwise since; a read goes to a primary that has spoken of its role within the read's bound and since anything last broke there, else that one is probed first (also for marked repeats); a claim in an answer counts from its commit, or its sending. Beside it, found by reading: an attempt that waited for its connection is asked whether its window for repeats is still open (stillAllows asked everything but that).

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -87,7 +87,7 @@
 
 // Memory. When tokens and members (gone ones early) are let go, and how many tokens are always kept.
 constexpr Micros kForgetTokens = 60 * kSecond, kForgetMembers = 3600 * kSecond, kForgetGone = 10 * kSecond;
-constexpr std::size_t kTokensLeast = 4096;
+constexpr std::size_t kTokensLeast = 4096, kNoTry = std::numeric_limits<std::size_t>::max();
 
 // Discovery. Shares of the time within which a router must ask: to spread first calls, wait, and back off.
 constexpr double kAskSpread = 0.02, kAskWait = 0.5, kAskBackoff = 0.05;
@@ -144,15 +144,16 @@
   void pump(Group& group);
   void lookAgain(GroupId id, Group& group);
   void conclude(Job& job);
-  void cancelPending(const Job& job);
+  void cancelPending(const Job& job, std::size_t but = kNoTry);
   void finish(RequestId id);
   void sweepTokens();
   void eraseIfDone(RequestId id);
 
   // Judgements.
   bool mayRepeat(const Job& job, const Peer* target) const;
+  bool mayRun(const Job& job, const Peer* target, std::size_t own) const;
   bool mayRefuse(const Job& job) const;
-  bool stillAllows(const Peer& peer, const Job& job);
+  bool stillAllows(const Peer& peer, const Job& job, std::size_t own);
   Micros giveUpAt(const Job& job) const;
   Position needOf(const Job& job) const;
   bool needsPrimary(const Job& job) const {
@@ -162,7 +163,6 @@
   double costOf(std::size_t index) const;
   bool longRead(std::size_t index) const;
   double longShare() const;
-  double recencyOf(const Peer& peer) const;
   double slownessOf(const Peer& peer) const;
   Micros coldSince(const Peer& peer) const {
     return peer.lost ? now_ : std::max(peer.info.launched, peer.returnedAt);
@@ -173,6 +173,9 @@
   static bool ledLast(const Peer& peer, const Group& group) {
     return peer.primaryAt != kNever && peer.primaryAt == group.primaryAt;
   }
+  bool vouched(const Peer& peer, const Job& job) const;
+  // Nothing newer tells that it is a replica.
+  static bool claims(const Peer& p) { return p.replicaAt == kNever || p.primaryAt > p.replicaAt; }
   bool takesPacks(const Peer& peer) const {
     return peer.ready && !peer.doubted && !blocked(peer) && (peer.longReads == 0 || now_ < peer.progressDue);
   }
@@ -207,7 +210,7 @@
   std::vector<Action>* out_ = nullptr;
   std::unordered_map<MemberId, Peer> peers_;
   std::map<GroupId, Group> groups_;
-  std::unordered_map<RequestId, Job> jobs_;
+  std::map<RequestId, Job> jobs_;
   std::unordered_map<std::uint64_t, Position> sessions_;  // each session's last write position
   Position oldToken_ = kNever;                            // the newest that was let go
   std::size_t sweepAt_ = kTokensLeast;
@@ -358,14 +361,11 @@
 
 void Logic::Impl::learnReport(Peer& peer, const Report& report) {
   if (report.position) learnPosition(peer, *report.position);
-  if (!report.role) return;
   // A primary's position is the time of its report, and a replica's report is no older than its position.
   // Without a position the report may be as old as any: it then counts only while no answer has spoken.
-  if (report.position) {
-    learnRole(peer, *report.role, *report.position);
-  } else if (peer.replicaAt == kNever && peer.primaryAt == kNever) {
-    learnRole(peer, *report.role, now_);
-  }
+  const bool unknown = peer.replicaAt == kNever && peer.primaryAt == kNever;
+  if (report.role && (report.position || unknown))
+    learnRole(peer, *report.role, report.position.value_or(now_));
 }
 
 // The one who led last leads, until it is known to be a replica or to be down: an older claim never revives.
@@ -375,8 +375,9 @@
     Peer& peer = peers_.at(id);
     if (!peer.ready || blocked(peer) || ghost(peer)) continue;
     if (ledLast(peer, group) && peer.primaryAt > peer.replicaAt) return &peer;
-    // The list is late: it counts while nothing newer is known, or for writes where no probe can tell.
-    const bool silent = peer.listedAt > std::max(peer.toldAt, group.toldAt);
+    // The list is late: it counts while nothing newer is known, or for writes where no probe can tell. Guards
+    // reads, which an old primary answers as ever: its own word that it is none outweighs the list's.
+    const bool silent = peer.listedAt > std::max(peer.toldAt, group.toldAt) && (forWrite || claims(peer));
     if (peer.listedAt == kNever || !(silent || (forWrite && !settings_.mayProbe))) continue;
     if (listed == nullptr || peer.listedAt > listed->listedAt) listed = &peer;
   }
@@ -485,13 +486,18 @@
     heard(peer);
     // Nothing but a primary takes writes.
     const bool refusedWrite = event.outcome == Outcome::Miss && job.consistency == Consistency::Write;
-    if (event.role || refusedWrite) learnRole(peer, event.role.value_or(Role::Replica), now_);
+    const Role role = event.role.value_or(Role::Replica);
+    // Guards against a claim that was on its way while its member fell.
+    const Micros at = role == Role::Primary ? event.position.value_or(sentAt) : now_;
+    if (event.role || refusedWrite) learnRole(peer, role, at);
     // For a write that went through the position is its commit, which the primary holds.
     if (event.position) learnPosition(peer, *event.position);
   }
   learnReport(peer, event.report);
   const bool reset = event.outcome == Outcome::Reset;
+  const bool silent = event.outcome == Outcome::TimedOut && peer.heardAt <= sentAt;
   peer.broken = peer.broken || reset;
+  if (reset || silent || event.outcome == Outcome::ConnectFailed) peer.brokeAt = now_;
   if (reset || event.outcome == Outcome::ConnectFailed) {
     // Turned away at once and not for want of an answer: it is dead, or its connections are all taken.
     const bool slow = !reset && event.elapsed >= settings_.connectTimeout / 2;
@@ -505,8 +511,7 @@
   const bool useless = reset || event.outcome == Outcome::TimedOut || event.outcome == Outcome::Spoilt;
   if (useless && ++peer.failures >= kFailuresToBlock) strike(peer);
   // Guards against a member that is down without a word: our few requests there would not tell for long.
-  if (event.outcome == Outcome::TimedOut && peer.heardAt <= sentAt && now_ - peer.probedAt > kBlockLeast)
-    probe(peer, ProbeReason::Silent);
+  if (silent && now_ - peer.probedAt > kBlockLeast) probe(peer, ProbeReason::Silent);
   const bool ok = event.outcome == Outcome::Ok;
   // What its client takes back with the answer under way was being served.
   const bool unserved = event.outcome == Outcome::Full || event.outcome == Outcome::TimedOut ||
@@ -536,7 +541,7 @@
   }
   const bool unanswered = event.outcome == Outcome::TimedOut || event.outcome == Outcome::Error;
   if (usual.value > 0 && (ok || unanswered)) {
-    peer.slowness = 1 + (peer.slowness - 1) * recencyOf(peer);
+    peer.slowness = slownessOf(peer);
     // An error counts as the slowest answer: one that fails fast must not draw traffic by looking fast.
     const double slow = event.outcome == Outcome::Error ? kSlownessMost : elapsed / usual.value;
     peer.slowness += kSlownessGain * (std::min(slow, kSlownessMost) - peer.slowness);
@@ -550,8 +555,7 @@
               : !ok || strain > kEaseSlow             ? std::max(1.0, kEaseCut * peer.ease)
                                                       : std::min(kEaseMost, (1 + step) * peer.ease);
   peer.easedAt = now_;
-  // Others come first now.
-  if (unserved || event.outcome == Outcome::Error) peer.order = 0.5 * (1 + random());
+  if (unserved || event.outcome == Outcome::Error) peer.order = 0.5 * (1 + random());  // others come first
   if (unserved || (ok && late)) {
     peer.limit = std::max(kLimitLeast, peer.limit * kLimitCut);
   } else if (ok && peer.load * 2 >= peer.limit) {
@@ -584,13 +588,10 @@
   return total > 0 ? heavy / total : 0;
 }
 
-double Logic::Impl::recencyOf(const Peer& peer) const {
-  if (peer.slownessAt == kNever) return 0;
-  return std::max(0.0, 1 - real(now_ - peer.slownessAt) / real(kSlownessFades));
+double Logic::Impl::slownessOf(const Peer& peer) const {
+  return 1 + (peer.slowness - 1) * std::max(0.0, 1 - real(now_ - peer.slownessAt) / real(kSlownessFades));
 }
 
-double Logic::Impl::slownessOf(const Peer& peer) const { return 1 + (peer.slowness - 1) * recencyOf(peer); }
-
 // The share of its capacity that a member has at the least, by the contract: it climbs evenly from its start.
 double Logic::Impl::warmthOf(const Peer& peer) const {
   const Micros since = coldSince(peer);
@@ -601,10 +602,10 @@
 }
 
 // Guards a cold member against being pushed over by all routers together. What warm members answer for this
-// router is its part of what they can do; keeping the cold one's work, rejected work included, in that
-// proportion to its warmth keeps the sum of all routers within the contract, however unequal they are. Where
-// that is less than a request in the window, or too little is known and an even part of what a core can do
-// stands in, single light ones go out so far apart, the first at a time that each router draws for itself.
+// router is its part of what they can do; the cold one's work, rejected work included, keeps that proportion
+// to its warmth, however unequal routers are. Where that is under a request in the window, or an even part of
+// what a core can do stands in for it, single light ones go so far apart, the first at a time of each
+// router's own.
 bool Logic::Impl::coldAllows(const Peer& peer, double cost) const {
   const double warmth = warmthOf(peer);
   if (warmth >= 1) return true;
@@ -642,12 +643,16 @@
 
 // The one place that says whether an attempt may be made, given those before it.
 bool Logic::Impl::mayRepeat(const Job& job, const Peer* target) const {
-  const ClassSettings& entry = classOf(job);
   if (job.tries.size() >= settings_.maxAttempts || job.over) return false;
-  if (job.pending > 0 && !settings_.parallelTries) return false;
+  return (job.pending == 0 || settings_.parallelTries) && mayRun(job, target, kNoTry);
+}
+
+// Whether one may run beside the effects that the others may have had.
+bool Logic::Impl::mayRun(const Job& job, const Peer* target, std::size_t own) const {
+  const ClassSettings& entry = classOf(job);
   if (entry.effect == Effect::Safe) return true;
   for (const Try& attempt : job.tries) {
-    if (!attempt.ran) continue;
+    if (!attempt.ran || (own != kNoTry && &attempt == &job.tries[own])) continue;
     if (entry.effect == Effect::Unsafe) return false;
     // Repeats are discarded within the window from the first attempt that may have run, and within its scope.
     if (now_ + 2 * settings_.tick >= attempt.sentAt + entry.window) return false;
@@ -658,12 +663,21 @@
 }
 
 // Whether a member may be sent a request that was placed on it a while ago.
-bool Logic::Impl::stillAllows(const Peer& peer, const Job& job) {
-  const bool leads = peer.primaryAt >= peer.replicaAt;  // nothing newer tells that it is a replica
-  if (!peer.ready || (needsPrimary(job) && !leads)) return false;
-  if (needsPrimary(job) || settings_.guard != Guard::Silent) return true;
-  const bool first = leads && (peer.listedAt != kNever || ledLast(peer, groupOf(job.request.group)));
-  return first || needOf(job) == kNever || peer.position >= needOf(job);
+bool Logic::Impl::stillAllows(const Peer& peer, const Job& job, std::size_t own) {
+  if (job.over || job.bound || !peer.ready || !mayRun(job, &peer, own)) return false;
+  const bool leads = claims(peer) && vouched(peer, job);
+  if (needsPrimary(job) || settings_.guard != Guard::Silent) return leads || !needsPrimary(job);
+  const bool first = peer.listedAt != kNever || ledLast(peer, groupOf(job.request.group));
+  return (leads && first) || needOf(job) == kNever || peer.position >= needOf(job);
+}
+
+// Guards reads against a primary that fell while its answers were lost: it must have spoken of its role, or
+// have been listed, within their bound and since anything broke there. Else it is asked first.
+bool Logic::Impl::vouched(const Peer& peer, const Job& job) const {
+  if (job.consistency == Consistency::Write || job.consistency == Consistency::Any) return true;
+  if (!settings_.mayProbe || settings_.guard != Guard::Silent) return true;
+  const Micros within = job.consistency == Consistency::Bounded ? classOf(job).maxAge : smallestBound_;
+  return std::max(peer.toldAt, peer.listedAt) > std::max(peer.brokeAt, now_ - within);
 }
 
 bool Logic::Impl::mayRefuse(const Job& job) const {
@@ -692,8 +706,7 @@
 // Worth per work.
 double Logic::Impl::priorityOf(const Job& job) const {
   const ClassSettings& entry = classOf(job);
-  const double worth = entry.worth * (now_ > job.aimEnd ? entry.lateShare : 1.0);
-  return worth / costOf(job);
+  return entry.worth * (now_ > job.aimEnd ? entry.lateShare : 1.0) / costOf(job);
 }
 
 // ---- The path of a request ----
@@ -714,13 +727,12 @@
   const Micros stretch = part(entry.aimStretch, request.estimate.value_or(0));
   job.aimEnd = std::min(now_ + entry.aim + stretch, request.deadline);
   job.consistency = entry.consistency;
-  if (entry.consistency == Consistency::Session) {
-    if (settings_.tokens == TokenMode::Remembered) {
-      const auto found = sessions_.find(request.session);
-      job.token = found != sessions_.end() ? found->second : oldToken_;
-    } else if (settings_.tokens == TokenMode::Unknown) {
-      job.consistency = Consistency::Fresh;  // nothing tells what the session has written
-    }
+  const bool session = entry.consistency == Consistency::Session;
+  // Where nothing tells what the session has written it must see all.
+  if (session && settings_.tokens == TokenMode::Unknown) job.consistency = Consistency::Fresh;
+  if (session && settings_.tokens == TokenMode::Remembered) {
+    const auto found = sessions_.find(request.session);
+    job.token = found != sessions_.end() ? found->second : oldToken_;
   }
   if (request.sinceLastWrite)
     job.token = std::max(job.token, now_ - std::max<Micros>(0, *request.sinceLastWrite - kTokenSlack));
@@ -749,14 +761,13 @@
 
 // Sends the request, or holds it, or ends it. After an attempt that ended nothing it serves again.
 void Logic::Impl::place(Job& job, Group& group) {
-  if (!mayRepeat(job, nullptr))
-    job.hindrance = Hindrance::Attempts;
-  else if (now_ >= giveUpAt(job))
-    job.hindrance = Hindrance::Time;
+  if (now_ >= giveUpAt(job)) job.hindrance = Hindrance::Time;
+  if (!mayRepeat(job, nullptr)) job.hindrance = Hindrance::Attempts;
   if (job.hindrance >= Hindrance::Time) return conclude(job);
   if (tryPlace(job, group)) return;
   // A marked repeat has most likely spent its aim already: where late is worth nothing it never waits.
-  if (job.request.repeat && classOf(job).lateShare <= 0) return conclude(job);
+  const bool brief = job.hindrance == Hindrance::Probe;
+  if (job.request.repeat && classOf(job).lateShare <= 0 && !brief) return conclude(job);
   hold(job, group);
 }
 
@@ -785,6 +796,11 @@
     seek(group);  // no guess: a server that may be stale gets no read
     return nullptr;
   }
+  if (!vouched(*primary, job)) {
+    job.hindrance = Hindrance::Probe;
+    probe(*primary, ProbeReason::Role);
+    return nullptr;
+  }
   if (!toPrimary && jammed(group.primary, job)) {
     job.hindrance = Hindrance::Jam;
     return nullptr;
@@ -797,9 +813,8 @@
   return primary;
 }
 
-// On how many replicas long reads go. Spread over all, they would leave none current, so all routers pack
-// them on the first by id, while they can wait: on as many as it takes for these to carry no more than their
-// even part.
+// On how many replicas long reads go. Spread over all, they would leave none current: while they can wait
+// they are packed on the first by id, on so many that these carry no more than their even part.
 double Logic::Impl::packsOf(const Group& group, const Peer* primary) const {
   double even = 0;
   for (const MemberId id : group.members) {
@@ -836,8 +851,8 @@
       // In an order of its own, so that not all routers ask, and then crowd, the same one.
       // One that lagged too far may have caught up since, at half the speed of time.
       const bool near = peer.lag - (now_ - peer.lagAt) / 2 <= now_ - need;
-      const bool may = room && near && now_ - peer.probedAt >= freshen;
-      if (may && (hopeful == nullptr || peer.order < hopeful->order)) hopeful = &peer;
+      const bool first = hopeful == nullptr || peer.order < hopeful->order;
+      if (room && near && now_ - peer.probedAt >= freshen && first) hopeful = &peer;
       const bool tried =
           std::any_of(job.tries.begin(), job.tries.end(), [&](const Try& t) { return t.member == id; });
       const bool hopeless = peer.lag > now_ - need && now_ - peer.lagAt < now_ - need;
@@ -939,10 +954,8 @@
       bestPriority = priority;
     }
     if (best == nullptr) return;
-    if (!tryPlace(*best, group)) {
-      stuck[bestSlot] = true;
-      continue;
-    }
+    stuck[bestSlot] = !tryPlace(*best, group);
+    if (stuck[bestSlot]) continue;
     best->held = false;
     group.held[bestSlot].pop_back();
     --group.heldCount;
@@ -983,12 +996,9 @@
     const bool repeatCosts = !neverRan || event.outcome == Outcome::Full;
     const bool tooMany = repeatCosts && classOf(job).effect == Effect::Safe && repeatCredit_ < 1;
     const bool unsendable = event.outcome == Outcome::NeverSent && !attempt.recalled;
-    if (job.bound || unsendable || now_ + settings_.tick >= job.request.deadline || tooMany) {
-      conclude(job);
-    } else {
-      if (repeatCosts) repeatCredit_ -= 1;
-      place(job, group);
-    }
+    const bool last = job.bound || unsendable || now_ + settings_.tick >= job.request.deadline || tooMany;
+    if (!last && repeatCosts) repeatCredit_ -= 1;
+    last ? conclude(job) : place(job, group);
   }
   eraseIfDone(event.request);
   pump(group);
@@ -999,10 +1009,7 @@
   const auto found = jobs_.find(event.request);
   if (found == jobs_.end()) return;
   found->second.bound = true;
-  const auto& tries = found->second.tries;
-  for (std::uint32_t i = 0; i < tries.size() && settings_.mayCancel; ++i) {
-    if (i != event.attempt && tries[i].pending) act(Cancel{event.request, i});
-  }
+  cancelPending(found->second, event.attempt);
 }
 
 // Guards sends that waited for their connection: what allowed them may no longer hold when they can be
@@ -1013,7 +1020,7 @@
   Job& job = found->second;
   Try& attempt = job.tries[event.attempt];
   const Peer* peer = find(attempt.member);
-  if (!attempt.pending || (!job.over && !job.bound && peer != nullptr && stillAllows(*peer, job))) return;
+  if (!attempt.pending || (peer != nullptr && stillAllows(*peer, job, event.attempt))) return;
   attempt.recalled = true;
   act(Cancel{event.request, event.attempt});
 }
@@ -1034,11 +1041,8 @@
   if (job.over) return;
   job.over = true;
   job.held = false;
-  if (mayRefuse(job)) {
-    act(Refuse{job.request.id, settings_.mayAdviseRetry ? settings_.maxRetryAfter : 0, job.hindrance});
-  } else {
-    act(Fail{job.request.id, job.hindrance});
-  }
+  if (!mayRefuse(job)) return act(Fail{job.request.id, job.hindrance});
+  act(Refuse{job.request.id, settings_.mayAdviseRetry ? settings_.maxRetryAfter : 0, job.hindrance});
 }
 
 void Logic::Impl::eraseIfDone(RequestId id) {
@@ -1071,13 +1075,11 @@
       return setTimer(kAskTimer, ++askRound_, part(kAskWait, askWithin()));
     case kStopTimer: {
       // Guards what is out or held when this router ends: the answer comes while there is one to give it.
-      std::vector<RequestId> ids;
-      for (const auto& [id, job] : jobs_) ids.push_back(id);
-      std::sort(ids.begin(), ids.end());
-      for (const RequestId id : ids) {
-        conclude(jobs_.at(id));
-        cancelPending(jobs_.at(id));
-        eraseIfDone(id);
+      for (auto next = jobs_.begin(); next != jobs_.end();) {
+        Job& job = next++->second;
+        conclude(job);
+        cancelPending(job);
+        eraseIfDone(job.request.id);
       }
       return;
     }
@@ -1094,14 +1096,13 @@
 // Guards against work for clients that have gone: what they left behind is cancelled where that is allowed.
 void Logic::Impl::on(const ClientLeft& event) {
   const auto found = jobs_.find(event.request);
-  if (found == jobs_.end()) return;
-  cancelPending(found->second);
+  if (found != jobs_.end()) cancelPending(found->second);
   finish(event.request);
 }
 
-void Logic::Impl::cancelPending(const Job& job) {
+void Logic::Impl::cancelPending(const Job& job, std::size_t but) {
   for (std::uint32_t i = 0; i < job.tries.size() && settings_.mayCancel; ++i) {
-    if (job.tries[i].pending) act(Cancel{job.request.id, i});
+    if (i != but && job.tries[i].pending) act(Cancel{job.request.id, i});
   }
 }
 
--- a/src/state.h
+++ b/src/state.h
@@ -50,6 +50,7 @@
   Micros blockedUntil = kNever;
   Micros suspectUntil = kNever;  // something broke, and a probe is to tell whether it lives
   Micros heardAt = kNever;
+  Micros brokeAt = kNever;    // when a request there last ended without a word
   Micros namedAt = kNever;    // by the list
   std::uint64_t namedIn = 0;  // the newest list that did
   bool probing = false;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -290,6 +290,100 @@
   EXPECT_EQ(rig.sentTo(rig.ask(kFresh)), Members{2});
 }
 
+// Guards the rule on stale reads: a list that is late names a primary that has since said that it is none.
+TEST(Roles, ReadsGoByAMembersOwnWordThatItLeadsNoMoreAndNotByALaterListThatNamesIt) {
+  KnownRig rig;
+  rig.now += kS;
+  rig.list({makeMember(1, false, MemberState::Gone), makeMember(2), makeMember(3)});
+  rig.probed(2, Role::Primary, rig.now);
+  rig.now += kS;
+  const auto write = rig.ask(kUnsafeWrite);
+  rig.end(write, 0, Outcome::Error, Role::Replica);
+  rig.pass(4 * kS);
+  rig.list({makeMember(2, true), makeMember(3)});
+  rig.forget();
+  const auto bounded = rig.ask(kBounded);
+  const auto fresh = rig.ask(kFresh);
+  EXPECT_EQ(rig.sentTo(bounded), Members{});
+  EXPECT_EQ(rig.sentTo(fresh), Members{});
+  EXPECT_EQ(rig.sentTo(rig.ask(kUnsafeWrite)), Members{2}) << "where it is wrong a write is turned away";
+  rig.probed(2, Role::Primary, rig.now);
+  EXPECT_EQ(rig.sentTo(fresh), Members{2}) << "its own newer word counts";
+}
+
+// Guards the same against an answer that was on its way while its member fell: what the member says of the
+// time at which it stopped is older than the answer's coming.
+TEST(Roles, AClaimInAnAnswerCountsFromItsCommitAndNotFromWhenItCame) {
+  KnownRig rig;
+  rig.now += kS;
+  const auto write = rig.ask(kUnsafeWrite);
+  const Position stood = rig.now + 10 * kMs;
+  rig.now += 15 * kMs;
+  rig.end(write, 0, Outcome::Ok, Role::Primary, stood - kMs);
+  rig.now += 4 * kS;
+  rig.probed(1, Role::Replica, stood);
+  rig.forget();
+  EXPECT_EQ(rig.sentTo(rig.ask(kBounded)), Members{});
+  EXPECT_EQ(rig.sentTo(rig.ask(kFresh)), Members{});
+}
+
+// Guards the same where the word that it leads no more was lost on a connection that broke or fell silent: a
+// read goes by a word that is no older than its bound, and came after all that broke.
+TEST(Roles, AReadAsksAPrimaryFirstThatHasNotSpokenOfItsRoleForItsBound) {
+  KnownRig rig;
+  rig.pass(3100 * kMs);
+  rig.forget();
+  for (const std::uint32_t kind : {kBounded, kFresh}) EXPECT_EQ(rig.sentTo(rig.ask(kind)), Members{});
+  EXPECT_EQ(rig.sentTo(rig.ask(kUnsafeWrite)), Members{1}) << "a write to a replica is turned away";
+  const auto probes = rig.all<Probe>();
+  EXPECT_TRUE(std::any_of(probes.begin(), probes.end(), [](const Probe& p) { return p.member == 1; }));
+  const auto fresh = rig.lastId - 1;
+  rig.probed(1, Role::Primary, rig.now);
+  EXPECT_EQ(rig.sentTo(fresh), Members{1});
+}
+
+TEST(Roles, AReadAsksAPrimaryFirstWhereSomethingBrokeSinceItSpoke) {
+  for (const Outcome outcome : {Outcome::Reset, Outcome::ConnectFailed, Outcome::TimedOut}) {
+    KnownRig rig;
+    const auto write = rig.ask(kUnsafeWrite);
+    rig.now += 600 * kMs;
+    rig.end(write, 0, outcome);
+    rig.feed(ProbeEnded{1, true, kMs, {}});  // it lives, and says nothing of its role
+    rig.forget();
+    const auto fresh = rig.ask(kFresh);
+    EXPECT_EQ(rig.sentTo(fresh), Members{});
+    ASSERT_GE(rig.probes(), 1U);
+    EXPECT_EQ(rig.all<Probe>()[0].member, 1U);
+    rig.now += kMs;
+    rig.probed(1, Role::Primary, rig.now);
+    EXPECT_EQ(rig.sentTo(fresh), Members{1});
+  }
+}
+
+TEST(Roles, AMarkedRepeatWaitsForSuchAProbeAsAnyOther) {
+  KnownRig rig;
+  rig.pass(3100 * kMs);
+  Request request;
+  request.id = ++rig.lastId;
+  request.group = 1;
+  request.classIndex = kFresh;
+  request.repeat = true;
+  request.deadline = rig.now + kS;
+  rig.forget();
+  rig.feed(RequestArrived{request});
+  EXPECT_EQ(rig.refusals(request.id), 0);
+  rig.probed(1, Role::Primary, rig.now);
+  EXPECT_EQ(rig.sentTo(request.id), Members{1});
+}
+
+TEST(Roles, WhereNobodyCanBeAskedTheLastWordStands) {
+  Settings settings = makeSettings();
+  settings.mayProbe = false;
+  KnownRig rig(settings);
+  rig.pass(10 * kS);
+  EXPECT_EQ(rig.sentTo(rig.ask(kFresh)), Members{1});
+}
+
 TEST(Roles, ANewLaunchEndsAnOlderClaim) {
   KnownRig rig;
   rig.now += kS;
@@ -696,6 +790,7 @@
   // No replica is current enough: a probe is on its way, and an idle primary with less than its part takes
   // the read.
   rig.pass(4 * kS);
+  rig.probed(1, Role::Primary, rig.now);
   rig.forget();
   EXPECT_EQ(rig.sentTo(rig.ask(kBounded)), Members{1});
 }
@@ -1169,6 +1264,39 @@
   EXPECT_EQ(rig.all<Cancel>().size(), 1U);
 }
 
+// Guards the rule on effects where a connection takes its time: the window in which repeats are discarded
+// counts from the first attempt, and is over before the second can be written.
+TEST(Routing, ARepeatThatWaitedForItsConnectionIsCalledBackOnceItsWindowIsOver) {
+  Settings settings = makeSettings();
+  settings.classes[kKeyedWrite].window = kS;
+  KnownRig rig(settings);
+  const auto write = rig.ask(kKeyedWrite, 8 * kS);
+  rig.now += 900 * kMs;
+  rig.end(write, 0, Outcome::TimedOut);
+  ASSERT_EQ(rig.sentTo(write).size(), 2U) << "the window is open yet";
+  rig.feed(AttemptConnected{write, 1});
+  EXPECT_TRUE(rig.all<Cancel>().empty());
+  rig.now += 95 * kMs;
+  rig.feed(AttemptConnected{write, 1});
+  ASSERT_EQ(rig.all<Cancel>().size(), 1U);
+  rig.end(write, 1, Outcome::NeverSent);
+  EXPECT_EQ(rig.sentTo(write).size(), 2U);
+  EXPECT_EQ(rig.failures(write), 1);
+  EXPECT_EQ(rig.refusals(write), 0) << "the first may have run";
+}
+
+// The same of one whose first attempt was never written: nothing binds it.
+TEST(Routing, AnAttemptIsNotCalledBackForItselfOrForOneThatNeverRan) {
+  Settings settings = makeSettings();
+  settings.classes[kKeyedWrite].window = 100 * kMs;
+  KnownRig rig(settings);
+  const auto write = rig.ask(kKeyedWrite, 8 * kS);
+  rig.end(write, 0, Outcome::Full);
+  rig.now += 200 * kMs;
+  rig.feed(AttemptConnected{write, 1});
+  EXPECT_TRUE(rig.all<Cancel>().empty());
+}
+
 TEST(Routing, AnAttemptThatNeverWentOutAndWasNotCalledBackEndsTheRequest) {
   KnownRig rig;
   const auto read = rig.ask(kAny);
