--- a/src/program/gateway.cpp
+++ b/src/program/gateway.cpp
@@ -140,7 +140,8 @@
                                        const std::optional<snapshot::Snapshot>& earlier) {
   startup::CallerSettings out;
   out.name = config.name;
-  out.drivers = config.settings.logic.drivers;
+  // Where lists are pushed each driver has its agent for itself.
+  out.drivers = config.settings.logic.mustAsk ? config.settings.logic.drivers : 1;
   out.askWithin = config.settings.logic.askWithin;
   out.seed = config.seed;
   if (!earlier) return out;
@@ -225,6 +226,8 @@
   watch_.startFrom(known.revision);
   router_.membersChanged(directory_.take(known));
   router_.start();
+  // Where lists are pushed the module asks for nothing: on sockets a push comes over a watch all the same.
+  if (!config_.settings.logic.mustAsk) watch_.subscribe();
   for (Entrance& entrance : entrances_) {
     const int error = entrance.listener->listen(entrance.address);
     if (error != 0) {
--- a/src/standins/gateway_rig.h
+++ b/src/standins/gateway_rig.h
@@ -30,6 +30,7 @@
   long maxRetryAfterMs = 500;
   long askWithinMs = 10'000;
   long knownRevision = 1;
+  const char* discovery = "ask";
 };
 
 inline std::string settingsText(const GatewayOptions& options) {
@@ -55,8 +56,8 @@
          ",\"ColdFrom\":0.2,\"DrainGrace\":250000,"
          "\"Fall\":2000000,"
          "\"FallMultiple\":2.5,\"WarmUp\":" +
-         micros(options.warmUpMs) +
-         "},\"Discovery\":\"ask\",\"Family\":\"replicas\","
+         micros(options.warmUpMs) + "},\"Discovery\":\"" + options.discovery +
+         "\",\"Family\":\"replicas\","
          "\"FamilyInfo\":{\"Consistency\":[\"" +
          options.viewConsistency +
          "\",\"any\",\"fresh\",\"write\"],\"Guards\":\"silent\","
