Session reads see their session's writes whose answers are late or lost

To blame: on(AttemptEnded) kept a token for writes that ended well only. Ruled out: rounding of positions (ages of 0.1 to 8 s), roles (the target was a known replica).

Change: while a write of the session is out its reads see all, at the primary; where one ended without telling whether it ran they need a position beyond the time at which it can still be begun and carried out. Only where sessions are remembered.

Tests: two, one seen to fail without it.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -129,7 +129,7 @@
   void strike(Peer& peer);
   void heard(Peer& peer);
   Peer* primaryOf(const Group& group, bool forWrite);
-  bool probe(Peer& peer, ProbeReason reason);
+  bool probe(Peer& peer, ProbeReason reason);  // whether one was sent
   void seek(Group& group);
   void probeStale(Group& group);
 
@@ -143,7 +143,7 @@
   void hold(Job& job, Group& group);
   void pump(Group& group);
   void lookAgain(GroupId id, Group& group);
-  void conclude(Job& job);
+  void conclude(Job& job);  // the request's one final answer
   void cancelPending(const Job& job, std::size_t but = kNoTry);
   void finish(RequestId id);
   void sweepTokens();
@@ -162,7 +162,7 @@
   double costOf(const Job& job) const { return costOf(job.request.classIndex); }
   double costOf(std::size_t index) const;
   bool longRead(std::size_t index) const;
-  double longShare() const;
+  double longShare() const;  // of the replicas' work, how much long reads are
   double slownessOf(const Peer& peer) const;
   Micros coldSince(const Peer& peer) const {
     return peer.lost ? now_ : std::max(peer.info.launched, peer.returnedAt);
@@ -190,7 +190,7 @@
   double firstLimit() const { return std::max(1.0, kLimitStart / settings_.drivers); }
   Micros fallWindow() const { return std::max(settings_.fallWindow, kMillisecond); }
   Micros askWithin() const { return std::max(settings_.askWithin, kSecond); }  // never a tight loop
-  double priorityOf(const Job& job) const;
+  double priorityOf(const Job& job) const;                                     // worth per work
 
   const ClassSettings& classOf(const Job& job) const { return settings_.classes[job.request.classIndex]; }
   Group& groupOf(GroupId id);
@@ -343,14 +343,12 @@
 // Newer evidence wins. A claim counts from the time at which it was true, so that a late report is not news.
 void Logic::Impl::learnRole(Peer& peer, Role role, Micros at) {
   peer.toldAt = now_;
-  if (role == Role::Primary) {
-    peer.primaryAt = std::max(peer.primaryAt, at);
-    Group& group = groupOf(peer.info.group);
-    group.primaryAt = std::max(group.primaryAt, peer.primaryAt);
-    group.toldAt = now_;
-  } else {
-    peer.replicaAt = std::max(peer.replicaAt, at);
-  }
+  Micros& newest = role == Role::Primary ? peer.primaryAt : peer.replicaAt;
+  newest = std::max(newest, at);
+  if (role == Role::Replica) return;
+  Group& group = groupOf(peer.info.group);
+  group.primaryAt = std::max(group.primaryAt, peer.primaryAt);
+  group.toldAt = now_;
 }
 
 void Logic::Impl::learnPosition(Peer& peer, Position position) {
@@ -384,7 +382,6 @@
   return listed;
 }
 
-// Whether one was sent.
 bool Logic::Impl::probe(Peer& peer, ProbeReason reason) {
   if (!settings_.mayProbe || peer.probing || !peer.ready) return false;
   peer.probing = true;
@@ -576,7 +573,6 @@
   return settings_.classes[index].consistency == Consistency::Any && costOf(index) > kHeavy;
 }
 
-// The share of the replicas' work that long reads are.
 double Logic::Impl::longShare() const {
   double total = 0, heavy = 0;
   for (std::size_t i = 0; i < arrivals_.size(); ++i) {
@@ -703,7 +699,6 @@
   return job.consistency == Consistency::Session ? job.token : kNever;
 }
 
-// Worth per work.
 double Logic::Impl::priorityOf(const Job& job) const {
   const ClassSettings& entry = classOf(job);
   return entry.worth * (now_ > job.aimEnd ? entry.lateShare : 1.0) / costOf(job);
@@ -733,6 +728,11 @@
   if (session && settings_.tokens == TokenMode::Remembered) {
     const auto found = sessions_.find(request.session);
     job.token = found != sessions_.end() ? found->second : oldToken_;
+    // Guards against a write of its own that has run while its answer is still on its way.
+    const bool open = std::any_of(jobs_.begin(), jobs_.end(), [&](const auto& at) {
+      return at.second.pending > 0 && at.second.request.session == request.session && at.second.isWrite();
+    });
+    if (open && request.session != 0) job.consistency = Consistency::Fresh;
   }
   if (request.sinceLastWrite)
     job.token = std::max(job.token, now_ - std::max<Micros>(0, *request.sinceLastWrite - kTokenSlack));
@@ -895,10 +895,9 @@
   const Micros silence = std::max(settings_.connectTimeout, kBlockLeast);
   const bool quiet = peer.inFlight > 0 && now_ - peer.heardAt > silence;
   act(Attempt{job.request.id, peer.info.id, 0});
-  job.tries.push_back({peer.info.id, now_, cost});
-  job.tries.back().isLong = longRead(job.request.classIndex);
-  if (job.tries.back().isLong && peer.longReads++ == 0)
-    peer.progressDue = progressDue(job.request.classIndex);
+  const bool isLong = longRead(job.request.classIndex);
+  job.tries.push_back({.member = peer.info.id, .sentAt = now_, .cost = cost, .isLong = isLong});
+  if (isLong && peer.longReads++ == 0) peer.progressDue = progressDue(job.request.classIndex);
   ++job.pending;
   if (peer.inFlight++ == 0) peer.heardAt = std::max(peer.heardAt, now_);
   peer.load += cost;
@@ -983,11 +982,13 @@
     // Guards against routers that sit on idle connections which others need while connections are scarce.
     if (event.outcome == Outcome::Ok && now_ - scarceAt_ < kScarceFor) act(Disconnect{attempt.member});
   }
-  if (event.outcome == Outcome::Ok && classOf(job).consistency == Consistency::Write &&
-      job.request.session != 0) {
-    // Where the commit is not told it is no later than now.
+  if (attempt.ran && classOf(job).consistency == Consistency::Write && job.request.session != 0) {
+    // The latest that it can be committed: where that is not told no later than now, or, where no answer
+    // came, than it may still be begun and carried out.
+    const Position latest = event.outcome == Outcome::Ok ? event.position.value_or(now_)
+                                                         : job.request.deadline + classOf(job).aim;
     Position& token = sessions_.try_emplace(job.request.session, kNever).first->second;
-    token = std::max(token, event.position.value_or(now_));
+    token = std::max(token, latest);
     if (sessions_.size() >= sweepAt_) sweepTokens();
   }
   if (event.finished) job.over = true;
@@ -1036,7 +1037,6 @@
   sweepAt_ = std::max(kTokensLeast, 2 * sessions_.size());
 }
 
-// The request's one final answer.
 void Logic::Impl::conclude(Job& job) {
   if (job.over) return;
   job.over = true;
--- a/src/state.h
+++ b/src/state.h
@@ -116,6 +116,7 @@
   bool over = false;
   bool held = false;
   bool bound = false;  // its client has seen a part of an attempt's answer
+  bool isWrite() const { return consistency == Consistency::Write; }
 };
 
 // A mean that moves, and that few samples move faster.
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -93,6 +93,34 @@
   EXPECT_EQ(rig.sentTo(none), Members{1});
 }
 
+// Guards the rule on stale reads where a write's answer is late or lost: it may have been committed, and a
+// read of its session has to see it.
+TEST(Routing, SessionReadsGoToThePrimaryWhileAWriteOfTheirsMayHaveRunUnanswered) {
+  Settings settings = makeSettings();
+  settings.tokens = TokenMode::Remembered;
+  for (const Outcome outcome : {Outcome::Reset, Outcome::TimedOut, Outcome::Error, Outcome::Spoilt}) {
+    KnownRig rig(settings);
+    const auto write = rig.ask(kUnsafeWrite, kS, {}, 9);
+    EXPECT_EQ(rig.sentTo(rig.ask(kSession, 0, {}, 9)), Members{1}) << "its answer is on its way";
+    EXPECT_NE(rig.sentTo(rig.ask(kSession, 0, {}, 8)), Members{1}) << "another session";
+    rig.end(write, 0, outcome);
+    rig.now += 100 * kMs;
+    rig.usualRecord();
+    EXPECT_EQ(rig.sentTo(rig.ask(kSession, 0, {}, 9)), Members{1}) << "it may yet be begun";
+    rig.now += 3 * kS;
+    for (const MemberId member : {2U, 3U}) rig.probed(member, Role::Replica, rig.now);
+    EXPECT_NE(rig.sentTo(rig.ask(kSession, 0, {}, 9)), Members{1}) << "by now replicas would have it";
+  }
+}
+
+TEST(Routing, SessionReadsAreNotBoundByAWriteThatNeverRan) {
+  Settings settings = makeSettings();
+  settings.tokens = TokenMode::Remembered;
+  KnownRig rig(settings);
+  rig.end(rig.ask(kUnsafeWrite, 10 * kMs, {}, 9), 0, Outcome::Full);
+  EXPECT_NE(rig.sentTo(rig.ask(kSession, 0, {}, 9)), Members{1});
+}
+
 TEST(Routing, SessionReadsWithoutATokenGoToAnyReplica) {
   Rig rig;
   rig.usualGroup();
