One lingering close for every orderly end towards clients; a reset ends no list

Change: Stream::linger (half-close once the output is out, drop what comes, end at the peer's end or a bound of time and bytes), used for each orderly end; lingering descriptors count, and go first where room is wanted; the listener empties its queue before it shuts, until the last call; the last word 57P03 for who never asked; the two ends of a stream told apart. A farewell is a read timeout now, patience a request timeout, an ending session a lingering one.

Not forced by a test: bytes between the look and the close inside one call (the lingering close drops them all the same).

--- a/src/program/gateway.cpp
+++ b/src/program/gateway.cpp
@@ -262,6 +262,8 @@
 }
 
 void Gateway::drain(std::function<void()> done) {
+  // Guards the end against being told twice: neither its time nor the listeners that are done start anew.
+  if (std::exchange(ending_, true)) return;
   router_.stopping(loop_.now() + stopWithin(config_.settings.logic));
   draining_ = entrances_.size();
   const auto all = std::make_shared<std::function<void()>>(std::move(done));
--- a/src/program/gateway.h
+++ b/src/program/gateway.h
@@ -63,6 +63,7 @@
   void take(const protocol::MemberList& list);
   void addEntrance(const installation::Listener& listener, routing::Observer& observer);
   std::vector<Entrance> entrances_;
+  bool ending_ = false;
   std::size_t draining_ = 0;  // listeners that are not yet done
 };
 
--- a/src/protocol/pg_protocol.cpp
+++ b/src/protocol/pg_protocol.cpp
@@ -18,6 +18,8 @@
     case ClientSide::Reason::TooMany:
     case ClientSide::Reason::NoMemory:
       return sqlstate::kTooManyConnections;
+    case ClientSide::Reason::ShuttingDown:
+      return sqlstate::kCannotConnectNow;
     case ClientSide::Reason::Unfinished:
       break;
   }
@@ -100,6 +102,7 @@
 }
 
 void PgClientSide::lastWord(Reason reason, std::string_view message, Buffer& out) {
+  if (reason == Reason::ShuttingDown && !server_.started()) return;
   writeError(out, true, codeFor(reason), message);
 }
 
--- a/src/protocol/wire.h
+++ b/src/protocol/wire.h
@@ -77,7 +77,7 @@
     bool violation = false;  // against the protocol
     bool part = false;       // of NeedMore: a message has begun and is not whole
   };
-  enum class Reason { TooMany, NoMemory, Unfinished };
+  enum class Reason { TooMany, NoMemory, Unfinished, ShuttingDown };
 
   virtual ~ClientSide() = default;
   // Looks at what has come in from that place on and writes what the protocol itself answers. What stands
@@ -98,7 +98,7 @@
   virtual void refused(std::int64_t retryAfterMs, Buffer& out) = 0;
   virtual void failed(Buffer& out) = 0;
   virtual void rejected(std::string_view message, Buffer& out) = 0;
-  // The last word of a connection.
+  // The last word of a connection; none where the protocol has none to say unasked.
   virtual void lastWord(Reason reason, std::string_view message, Buffer& out) = 0;
   // Whether the client has made itself known by more than its start.
   virtual bool introduced() const { return false; }
--- a/src/routing/client_listener.cpp
+++ b/src/routing/client_listener.cpp
@@ -19,6 +19,8 @@
 // And what comes more than 0.7 s after it must not be left to the kill.
 constexpr Micros kLastCall = 600'000;
 constexpr Micros kLookAgain = 250'000;
+// How soon the queue is looked at again that could not be emptied before the listener closes.
+constexpr Micros kQueueAgain = 5'000;
 // Guards clients that are about to ask against losing their place: for so long one is left alone in any
 // crowd.
 constexpr Micros kLeftAlone = 250'000;
@@ -37,7 +39,7 @@
       protocol_(protocol),
       protocolIndex_(index),
       shared_(shared),
-      retry_(loop, [this] { acceptAll(); }),
+      retry_(loop, [this] { (void)acceptAll(); }),
       closing_(loop, [this] { stopListening(); }),
       lastCall_(loop, [this] { checkDrained(); }),
       thinning_(loop, [this] { thinOut(); }) {}
@@ -57,35 +59,38 @@
   return transport::boundTo(listener_.get());
 }
 
-void ClientListener::onReady(std::uint32_t) { acceptAll(); }
+void ClientListener::onReady(std::uint32_t) { (void)acceptAll(); }
 
-void ClientListener::acceptAll() {
+bool ClientListener::acceptAll() {
   for (int i = 0; i < kAcceptsPerTurn && listener_; ++i) {
     // Guards requests that stand behind a connection: they wait in the queue rather than be cut off unread.
     if (!budget_.clientMayBeToldOff() && !makeRoom() && !budget_.clientMayBeToldOff()) {
-      return retry_.arm(loop_.now() + kRetryAccept);
+      retry_.arm(loop_.now() + kRetryAccept);
+      return false;
     }
     transport::Opened opened = transport::acceptFrom(listener_.get());
     if (opened.fd) {
       admit(std::move(opened.fd), makeRoom());
       continue;
     }
-    if (opened.error == EAGAIN || opened.error == EWOULDBLOCK) return;
+    if (opened.error == EAGAIN || opened.error == EWOULDBLOCK) return true;
     observer_.note(Topic::Limits,
                    "a client can't be taken in at present: error " + std::to_string(opened.error));
     // An idle connection to a member goes before a client does.
     if ((opened.error == EMFILE || opened.error == ENFILE) && pool_.spareOne()) continue;
-    return retry_.arm(loop_.now() + kRetryAccept);
+    retry_.arm(loop_.now() + kRetryAccept);
+    return false;
   }
   if (listener_) loop_.again(*this);
+  return false;
 }
 
 // Room for one more client. First goes who has been told its last, then who has asked nothing that could be
 // understood, then who has stood between requests for longest.
 bool ClientListener::makeRoom() {
   while (!budget_.clientFits()) {
-    if (!ending_.empty()) {
-      ending_.front()->closeEnding();
+    if (!lingering_.empty()) {
+      lingering_.front()->closeLingering();
     } else if (!closeOneOf(unknown_) && !closeOneOf(resting_)) {
       return false;
     }
@@ -130,12 +135,15 @@
   if (!thinning_.armed()) thinOut();
 }
 
-void ClientListener::onSessionEnding(ClientSession& session) { move(session, ending_); }
+void ClientListener::onSessionLingering(ClientSession& session) {
+  move(session, lingering_);
+  budget_.clientLingers();
+}
 
 std::vector<ClientSession*> ClientListener::all() const {
   std::vector<ClientSession*> out;
   out.reserve(index_.size());
-  for (const Sessions* list : {&resting_, &unknown_, &ending_, &busy_}) {
+  for (const Sessions* list : {&resting_, &unknown_, &lingering_, &busy_}) {
     for (const auto& session : *list) out.push_back(session.get());
   }
   return out;
@@ -163,7 +171,7 @@
 void ClientListener::onSessionOver(ClientSession& session) {
   const auto found = index_.find(&session);
   if (found == index_.end()) return;
-  budget_.clientClosed();
+  budget_.clientClosed(found->second.in == &lingering_);
   loop_.retire(std::move(*found->second.at));
   found->second.in->erase(found->second.at);
   index_.erase(found);
@@ -173,6 +181,7 @@
 void ClientListener::drain(std::function<void()> done) {
   if (draining_) return;
   draining_ = true;
+  drainAt_ = loop_.now();
   drained_ = std::move(done);
   for (ClientSession* session : all()) session->leave(false);
   closing_.arm(loop_.now() + kStillComing);
@@ -181,9 +190,9 @@
 }
 
 void ClientListener::stopListening() {
-  // What stands in the queue has been taken in: it is served before the door shuts.
-  acceptAll();
   if (!listener_) return;
+  // Guards those that stand in the queue: closed over them, they would be reset unread.
+  if (!acceptAll() && loop_.now() < drainAt_ + kLastCall) return closing_.arm(loop_.now() + kQueueAgain);
   loop_.unwatch(listener_.get(), *this);
   listener_.reset();
   retry_.disarm();
--- a/src/routing/client_listener.h
+++ b/src/routing/client_listener.h
@@ -34,8 +34,9 @@
   void onSessionOver(ClientSession& session) override;
   void onSessionBusy(ClientSession& session) override;
   void onSessionResting(ClientSession& session) override;
-  void onSessionEnding(ClientSession& session) override;
-  void acceptAll();
+  void onSessionLingering(ClientSession& session) override;
+  // Whether the queue is empty.
+  bool acceptAll();
   bool makeRoom();
   bool closeOneOf(Sessions& sessions);
   void thinOut();
@@ -54,10 +55,10 @@
   std::size_t protocolIndex_;
   ClientSession::Shared& shared_;
   transport::UniqueFd listener_;
-  Sessions busy_;     // with a request out
-  Sessions resting_;  // between requests, the longest first
-  Sessions unknown_;  // nothing could be understood of them so far; the oldest first
-  Sessions ending_;   // told their last; the oldest first
+  Sessions busy_;       // with a request out
+  Sessions resting_;    // between requests, the longest first
+  Sessions unknown_;    // nothing could be understood of them so far; the oldest first
+  Sessions lingering_;  // told their last; the oldest first
   struct Held {
     Sessions* in;
     Sessions::iterator at;
@@ -69,6 +70,7 @@
   transport::Timer thinning_;
   std::function<void()> drained_;
   bool draining_ = false;
+  Micros drainAt_ = 0;
 };
 
 }  // namespace heathflow::routing
--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -15,18 +15,18 @@
 constexpr transport::Stream::Limits kLimits = {protocol::kClientMessageLimit + 4 * 1024,
                                                protocol::kMemberAnswerLimit + 16 * 1024};
 // How long a client may take to read what it no longer waits for (its last answer, or that it was told off),
-// and to go on with a message when its place is wanted.
-constexpr Micros kFarewell = 1'000'000;
+// to see that its connection ends, and to go on with a message when its place is wanted.
+constexpr Micros kReadTimeout = 1'000'000;
 // LATER, Bad clients: whoever sends nothing that can be read is owed an error or a close within 3 s of
 // connecting. The same time is given to a message that has begun.
-constexpr Micros kPatience = 2'500'000;
-// For how long a client that has been told its last may go on sending (6 s are counted with 60 MB).
-constexpr Micros kDrain = 2'500'000;
+constexpr Micros kRequestTimeout = 2'500'000;
+// For how long a client that was told a fatal error may go on sending (6 s are counted with 60 MB).
+constexpr Micros kLingerTimeout = 2'500'000;
 // Guards the others against one that sends hundreds of messages at once: so many of them a turn.
 constexpr int kMessagesPerTurn = 16;
 // An id longer than this is none.
 constexpr std::size_t kLongestId = 128;
-// Beyond this a client's patience is no time at all.
+// Beyond this the time that a client gives a request is no time at all.
 constexpr std::int64_t kMostPatienceMs = 86'400'000;
 
 }  // namespace
@@ -40,12 +40,12 @@
       shared_(shared),
       observer_(observer),
       stream_(loop, *this, kLimits),
-      farewell_(loop,
-                [this] {
-                  if (!stream_.output().empty()) ++observer_.counters.clientsNotReading;
-                  over();
-                }),
-      due_(loop, [this] { overdue(); }),
+      readTimeout_(loop,
+                   [this] {
+                     if (!stream_.output().empty()) ++observer_.counters.clientsNotReading;
+                     over();
+                   }),
+      requestTimeout_(loop, [this] { overdue(); }),
       nextTurn_(loop, [this] { process(); }),
       protocol_(protocol),
       protocolName_(name),
@@ -56,7 +56,7 @@
 
 bool ClientSession::adopt(transport::UniqueFd fd) {
   restingSince_ = loop_.now();
-  due_.arm(loop_.now() + kPatience);
+  requestTimeout_.arm(loop_.now() + kRequestTimeout);
   return stream_.adopt(std::move(fd));
 }
 
@@ -66,28 +66,30 @@
   readAt_ = loop_.now();
   process();
   // Guards memory: a message for which there is none is turned away, so that others get theirs.
-  if (!stream_.stalled() || partSince_ == 0 || busy_ || over_ || ending_) return;
+  if (!stream_.stalled() || partSince_ == 0 || busy_ || over_ || lingering_) return;
   ++observer_.counters.memoryRefusals;
   note(Topic::Limits, "a client's message was turned away: no memory is left for it");
   endWith(Reason::NoMemory, "no memory is left");
 }
 
 void ClientSession::onDrained() {
-  if (ending_) return stream_.endSending();
-  farewell_.disarm();
+  readTimeout_.disarm();
   if (busy_ && bound_) router_.resume(request_);
   process();
 }
 
 // A client that closes has left, whatever it had asked.
-void ClientSession::onEnd(transport::StreamEnd) { over(); }
+void ClientSession::onEnd(transport::StreamEnd) {
+  if (lingering_ && !stream_.output().empty()) ++observer_.counters.clientsNotReading;
+  over();
+}
 
 void ClientSession::over() {
   if (over_) return;
   over_ = true;
   stream_.close();
-  farewell_.disarm();
-  due_.disarm();
+  readTimeout_.disarm();
+  requestTimeout_.disarm();
   nextTurn_.disarm();
   shared_.open.erase(id_);
   if (busy_) router_.left(request_);
@@ -99,13 +101,13 @@
   if (processing_) return;
   processing_ = true;
   // The next request waits until the answer before it is on its way, so that output stays bounded.
-  for (int taken = 0; !over_ && !ending_ && (busy_ || stream_.output().empty()); ++taken) {
+  for (int taken = 0; !over_ && !lingering_ && (busy_ || stream_.output().empty()); ++taken) {
     if (taken == kMessagesPerTurn) {
       nextTurn_.arm(loop_.now() + 1);
       break;
     }
     if (busy_ && (!side_->takesParts() || stream_.input().size() == held_)) {
-      due_.disarm();
+      requestTimeout_.disarm();
       partSince_ = 0;
       break;
     }
@@ -131,8 +133,9 @@
   if (side_->introduced()) known_ = true;
   switch (step.kind) {
     case Kind::NeedMore:
-      if (step.part && partSince_ == 0 && !due_.armed()) due_.arm(loop_.now() + kPatience);
-      if (!step.part && (known_ || busy_)) due_.disarm();
+      if (step.part && partSince_ == 0 && !requestTimeout_.armed())
+        requestTimeout_.arm(loop_.now() + kRequestTimeout);
+      if (!step.part && (known_ || busy_)) requestTimeout_.disarm();
       partSince_ = !step.part ? 0 : partSince_ == 0 ? loop_.now() : partSince_;
       if (leaving_ && asked_ && stream_.input().empty()) closeIfIdle();
       return false;
@@ -141,7 +144,7 @@
       return false;
     case Kind::Fatal:
       if (busy_) takeBack();
-      endAfterOutput();
+      linger(kLingerTimeout);
       return false;
     case Kind::Request:
       partSince_ = 0;
@@ -215,7 +218,7 @@
   }
   id_ = asked->id;
   known_ = true;
-  due_.disarm();
+  requestTimeout_.disarm();
   Request request;
   request.group = *asked->group;
   request.classIndex = known->second;
@@ -305,30 +308,28 @@
   owner_.onSessionResting(*this);
   stream_.flush();
   // Guards descriptors against clients that never read: once they have stopped waiting the connection ends.
-  if (!stream_.output().empty()) farewell_.arm(std::max(loop_.now(), deadline_) + kFarewell);
+  if (!stream_.output().empty()) readTimeout_.arm(std::max(loop_.now(), deadline_) + kReadTimeout);
 }
 
 void ClientSession::endWith(Reason reason, std::string_view message) {
   side_->lastWord(reason, message, stream_.output());
-  endAfterOutput();
+  linger(kLingerTimeout);
 }
 
-// Guards the last word's way to a client that is still sending: what comes is dropped, and nothing of it is
-// held.
-void ClientSession::endAfterOutput() {
-  ending_ = true;
-  due_.disarm();
-  owner_.onSessionEnding(*this);
-  farewell_.arm(loop_.now() + kDrain);
-  stream_.dropInput();
-  stream_.flush();
-  if (stream_.output().empty()) stream_.endSending();
+// Every orderly end goes this way. Guards what the client has yet to read, and a request that crosses the
+// close: it is neither sent on nor answered by a reset, and its client sends it again elsewhere.
+void ClientSession::linger(Micros limit) {
+  lingering_ = true;
+  requestTimeout_.disarm();
+  readTimeout_.disarm();
+  owner_.onSessionLingering(*this);
+  stream_.linger(limit);
 }
 
 // The client has let its time go by: with nothing asked, or with a message that does not go on.
 void ClientSession::overdue() {
-  if (ending_ || over_ || (busy_ && partSince_ == 0)) return;
-  if (stream_.input().empty()) return over();
+  if (lingering_ || over_ || (busy_ && partSince_ == 0)) return;
+  if (stream_.input().empty()) return linger(kReadTimeout);
   if (busy_) takeBack();
   ++observer_.counters.clientProtocolErrors;
   note(Topic::Clients, "a message was not finished in time");
@@ -338,20 +339,29 @@
 void ClientSession::turnAway() {
   turnedAway_ = leaving_ = true;
   // One that never asks must not keep others from being told.
-  farewell_.arm(loop_.now() + kFarewell);
+  readTimeout_.arm(loop_.now() + kReadTimeout);
 }
 
 void ClientSession::leave(bool evenUnasked) {
   leaving_ = true;
-  if (asked_ || evenUnasked) closeIfIdle();
+  if (asked_) {
+    closeIfIdle();
+  } else if (evenUnasked && mayClose()) {
+    endWith(Reason::ShuttingDown, "this gateway ends");
+  }
 }
 
-bool ClientSession::closeIfIdle() {
-  if (busy_ || ending_ || over_ || !stream_.output().empty()) return false;
+// Whether it stands between requests.
+bool ClientSession::mayClose() const {
+  if (busy_ || lingering_ || over_ || !stream_.output().empty()) return false;
   // Guards descriptors, and the end, against clients that begin a message and never finish it.
-  const bool stuck = partSince_ != 0 && loop_.now() - partSince_ > kFarewell;
-  if (!stuck && !stream_.quiet()) return false;
-  over();
+  const bool stuck = partSince_ != 0 && loop_.now() - partSince_ > kReadTimeout;
+  return stuck || stream_.quiet();
+}
+
+bool ClientSession::closeIfIdle() {
+  if (!mayClose()) return false;
+  linger(kReadTimeout);
   return true;
 }
 
--- a/src/routing/client_session.h
+++ b/src/routing/client_session.h
@@ -23,10 +23,10 @@
  public:
   virtual ~ClientSessionOwner() = default;
   virtual void onSessionOver(ClientSession& session) = 0;
-  // It has taken a request, answered its last one, or has been told its last.
+  // It has taken a request, answered its last one, or only lingers from now on.
   virtual void onSessionBusy(ClientSession& session) = 0;
   virtual void onSessionResting(ClientSession& session) = 0;
-  virtual void onSessionEnding(ClientSession& session) = 0;
+  virtual void onSessionLingering(ClientSession& session) = 0;
 };
 
 class ClientSession final : public Requester, private transport::StreamOwner {
@@ -59,13 +59,13 @@
   // Every request is refused and the connection ends with the first: there are too many clients.
   void turnAway();
   // Ends as soon as it stands between requests. One that has not asked yet may do so first, unless told not
-  // to.
+  // to; it is then told that the process ends.
   void leave(bool evenUnasked);
-  // Closes it where it stands between requests with nothing unread, or with a part of a message that does not
-  // go on; says whether it did.
+  // Ends it, with a lingering close, where it stands between requests with nothing unread, or with a part of
+  // a message that does not go on; says whether it did.
   bool closeIfIdle();
-  // Closes one that has been told its last and only drops what still comes.
-  void closeEnding() { over(); }
+  // Closes one that only lingers: its place is wanted.
+  void closeLingering() { over(); }
   // Whether it has ever asked what could be understood; since when it stands without a request.
   bool known() const { return known_; }
   Micros restingSince() const { return restingSince_; }
@@ -94,7 +94,8 @@
   void rest();
   // Says a fatal error as the last word.
   void endWith(protocol::ClientSide::Reason reason, std::string_view message);
-  void endAfterOutput();
+  void linger(Micros limit);
+  bool mayClose() const;
   void over();
 
   transport::EventLoop& loop_;
@@ -103,9 +104,9 @@
   Shared& shared_;
   Observer& observer_;
   transport::Stream stream_;
-  transport::Timer farewell_;  // the connection ends then, whatever is unread
-  transport::Timer due_;       // by when it must have asked, or gone on with what it has begun
-  transport::Timer nextTurn_;  // more of the input is looked at
+  transport::Timer readTimeout_;     // by when it must have read what it no longer waits for
+  transport::Timer requestTimeout_;  // by when it must have asked, or gone on with what it has begun
+  transport::Timer nextTurn_;        // more of the input is looked at
   std::size_t protocol_;
   std::string_view protocolName_;
   std::uint64_t number_;          // of the connection
@@ -125,7 +126,7 @@
   bool known_ = false;
   bool leaving_ = false;
   bool turnedAway_ = false;
-  bool ending_ = false;  // all has been said: what is written still goes out
+  bool lingering_ = false;  // all has been said: what is written still goes out
   bool over_ = false;
 };
 
--- a/src/routing/descriptor_budget.h
+++ b/src/routing/descriptor_budget.h
@@ -22,12 +22,17 @@
   // Clients get half: each of their requests needs a connection to a member as well.
   bool clientFits() const { return clients_ < limit_ / 2; }
   bool clientMayBeToldOff() const { return clients_ < limit_ / 2 + kTurnedAwayAtOnce; }
-  // They hold so much of the third that fronts count on that new ones might soon find no place.
-  bool clientsCrowd() const { return clients_ > limit_ / 4; }
+  // They hold so much of the third that fronts count on that new ones might soon find no place. Those that
+  // only linger give theirs as soon as it is wanted.
+  bool clientsCrowd() const { return clients_ - lingering_ > limit_ / 4; }
   bool memberFits() const { return std::min(clients_, limit_ / 2) + members_ < limit_; }
 
   void clientOpened() { changed(++clients_ + members_); }
-  void clientClosed() { changed(--clients_ + members_); }
+  void clientLingers() { ++lingering_; }
+  void clientClosed(bool lingered) {
+    if (lingered) --lingering_;
+    changed(--clients_ + members_);
+  }
   void memberOpened() { changed(clients_ + ++members_); }
   void memberClosed() { changed(clients_ + --members_); }
 
@@ -39,6 +44,7 @@
 
   std::size_t limit_;
   std::size_t clients_ = 0;
+  std::size_t lingering_ = 0;  // of these
   std::size_t members_ = 0;
   Counters& counters_;
 };
--- a/src/routing/discovery_watch.cpp
+++ b/src/routing/discovery_watch.cpp
@@ -97,7 +97,7 @@
   if (response_->state() != protocol::HttpResponse::State::Reading) finished();
 }
 
-void DiscoveryWatch::onEnd(transport::StreamEnd) {
+void DiscoveryWatch::onEnd(transport::StreamEnd how) {
   if (!calling_) return;
   // A kept connection that closes as it is used says nothing of discovery: once more, on a new one.
   if (reused_ && (!response_ || !response_->begun())) {
@@ -105,7 +105,9 @@
     return open();
   }
   if (!response_) return failed(CallFailure::Unreachable, "it can't be reached");
-  if (!response_->begun()) return failed(CallFailure::Broken, "its connection broke");
+  // Guards against half a list: where a response has no length only an orderly close ends it, and no reset.
+  if (!response_->begun() || how != transport::StreamEnd::Closed)
+    return failed(CallFailure::Broken, "its connection broke");
   response_->ended();
   finished();
 }
--- a/src/standins/standins.cpp
+++ b/src/standins/standins.cpp
@@ -1,5 +1,7 @@
 #include "standins/standins.h"
 
+#include <sys/socket.h>
+
 #include <array>
 #include <stdexcept>
 
@@ -342,4 +344,27 @@
   return count;
 }
 
+void PlainSocket::resetNow() {
+  const linger hard{1, 0};
+  ::setsockopt(opened_.fd.get(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+  opened_.fd.reset();
+}
+
+PlainListener::PlainListener(transport::EventLoop& loop, std::uint32_t address) : loop_(loop) {
+  transport::Opened opened = transport::listenOn({address, 0}, 128);
+  if (!opened.fd) throw std::runtime_error("a stand-in can't listen");
+  listener_ = std::move(opened.fd);
+  endpoint_ = *transport::boundTo(listener_.get());
+}
+
+std::unique_ptr<PlainSocket> PlainListener::next() {
+  std::unique_ptr<PlainSocket> out;
+  until(loop_, [&] {
+    transport::Opened opened = transport::acceptFrom(listener_.get());
+    if (opened.fd) out = std::make_unique<PlainSocket>(loop_, std::move(opened));
+    return out != nullptr;
+  });
+  return out;
+}
+
 }  // namespace heathflow::test
--- a/src/standins/standins.h
+++ b/src/standins/standins.h
@@ -65,6 +65,7 @@
 
   std::string got;
   bool ended = false;
+  bool reset = false;  // and not in order
 
  private:
   void onInput() override {
@@ -73,8 +74,9 @@
     stream.input().consume(stream.input().size());
     if (onInput_) onInput_(*this);
   }
-  void onEnd(transport::StreamEnd) override {
+  void onEnd(transport::StreamEnd how) override {
     ended = true;
+    reset = how == transport::StreamEnd::Failed;
     if (onGone) onGone();
   }
   OnInput onInput_;
@@ -373,11 +375,14 @@
   std::vector<bolt::Message> messages_;
 };
 
-// A client without manners: a socket and nothing around it, so that it goes on whatever it is told.
+// A peer without manners: a socket and nothing around it, so that it goes on whatever it is told, reads only
+// when asked to, and acts between two turns of the loop.
 class PlainSocket {
  public:
   PlainSocket(transport::EventLoop& loop, const transport::Endpoint& gateway)
-      : loop_(loop), opened_(transport::startConnect(gateway)) {}
+      : PlainSocket(loop, transport::startConnect(gateway)) {}
+  PlainSocket(transport::EventLoop& loop, transport::Opened opened)
+      : loop_(loop), opened_(std::move(opened)) {}
 
   // False where the peer has reset the connection.
   bool send(std::string_view bytes) {
@@ -394,6 +399,9 @@
     return over && !failed;
   }
   void endSending() { transport::endSending(opened_.fd.get()); }
+  // Closes with a reset, whatever the peer has yet to read.
+  void resetNow();
+  void hangUp() { opened_.fd.reset(); }
   // What has come so far; 'ended' and 'reset' say how it ended, if it has.
   const std::string& read() {
     char bytes[4096];
@@ -409,6 +417,10 @@
   bool gone() {
     return until(loop_, [&] { return read(), ended; });
   }
+  bool reads(std::string_view text) {
+    return until(loop_, [&] { return read().find(text) != std::string::npos || ended; }) &&
+           got_.find(text) != std::string::npos;
+  }
   // The code of the last message, where that is an error.
   std::string lastCode() {
     std::string bytes = read();
@@ -425,4 +437,20 @@
   std::string got_;
 };
 
+// Listens and takes in connections one at a time, when asked to: what they say and how they end is the
+// test's.
+class PlainListener {
+ public:
+  explicit PlainListener(transport::EventLoop& loop, std::uint32_t address = kLoopback);
+  const transport::Endpoint& endpoint() const { return endpoint_; }
+  std::string address() const { return toText(endpoint_); }
+  // Waits for the next connection; null where none comes.
+  std::unique_ptr<PlainSocket> next();
+
+ private:
+  transport::EventLoop& loop_;
+  transport::UniqueFd listener_;
+  transport::Endpoint endpoint_;
+};
+
 }  // namespace heathflow::test
--- a/src/transport/stream.cpp
+++ b/src/transport/stream.cpp
@@ -19,7 +19,8 @@
     : loop_(loop),
       owner_(owner),
       input_(limits.input, &loop.memory()),
-      output_(limits.output, &loop.memory()) {}
+      output_(limits.output, &loop.memory()),
+      lingerLimit_(loop, [this] { end(StreamEnd::Closed); }) {}
 
 bool Stream::adopt(UniqueFd fd) {
   fd_ = std::move(fd);
@@ -38,15 +39,13 @@
 
 void Stream::close() {
   if (!fd_) return;
+  lingerLimit_.disarm();
+  if (lingering_) dropTurn();
   loop_.unwatch(fd_.get(), *this);
   fd_.reset();
   connecting_ = false;
 }
 
-void Stream::endSending() {
-  if (open()) transport::endSending(fd_.get());
-}
-
 void Stream::end(StreamEnd how) {
   if (closed()) return;
   close();
@@ -72,7 +71,7 @@
   }
   if (closed()) return;
   if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
-    if (dropping_) {
+    if (lingering_) {
       dropSent();
     } else {
       readInput((events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0);
@@ -80,7 +79,12 @@
   }
   if (closed() || (events & EPOLLOUT) == 0 || output_.empty()) return;
   if (!writeOutput()) return end(StreamEnd::Failed);
-  if (output_.empty()) owner_.onDrained();
+  if (output_.empty()) outputGone();
+}
+
+void Stream::outputGone() {
+  if (!lingering_) return owner_.onDrained();
+  transport::endSending(fd_.get());
 }
 
 void Stream::readInput(bool hungUp) {
@@ -113,29 +117,43 @@
     if (moved.kind == Transfer::Kind::Failed) ended = StreamEnd::Failed;
   }
   if (got > 0) owner_.onInput();
-  // Guards against a peer that closes behind an input that nobody empties.
-  if (stalled_ && hungUp_) over = true;
+  // Guards against a peer that closes behind an input that nobody empties. Where the owner has made room the
+  // rest is still to be read, and whether it ends in order or by a reset.
+  if (stalled_ && hungUp_ && !closed() && input_.room().size == 0) over = true;
   if (over) end(ended);
 }
 
-void Stream::dropInput() {
-  dropping_ = true;
+// Guards what the peer has yet to read, and what it is just sending: closed on unread bytes, the kernel would
+// send a reset that overtakes all that was sent before.
+void Stream::linger(Micros limit) {
+  if (!open() || lingering_) return;
+  lingering_ = true;
   input_.release();
-  if (open()) loop_.again(*this);
+  lingerLimit_.arm(loop_.now() + limit);
+  if (output_.empty()) outputGone();
+  flush();
+  loop_.again(*this);
 }
 
-// Guards the last words to a peer that is still sending: closed on unread bytes, the kernel would send a
-// reset that overtakes them.
-void Stream::dropSent() {
+// Throws away what has come, up to what a turn may take. False: there may be more.
+bool Stream::dropTurn() {
   for (std::size_t got = 0; got < kDropPerTurn;) {
     const Transfer moved = dropSome(fd_.get(), kDropPerTurn);
-    if (moved.kind == Transfer::Kind::WouldBlock) return;
-    if (moved.kind == Transfer::Kind::Failed) return end(StreamEnd::Failed);
+    if (moved.kind == Transfer::Kind::WouldBlock) return true;
     got += moved.size;
     dropped_ += moved.size;
-    if (moved.kind == Transfer::Kind::Closed || dropped_ > kDropMost) return end(StreamEnd::Closed);
+    if (moved.kind != Transfer::Kind::Done || dropped_ > kDropMost) {
+      dropEnd_ = moved.kind == Transfer::Kind::Failed ? StreamEnd::Failed : StreamEnd::Closed;
+      return true;
+    }
   }
-  loop_.again(*this);
+  return false;
+}
+
+void Stream::dropSent() {
+  const bool all = dropTurn();
+  if (dropEnd_) return end(*dropEnd_);
+  if (!all) loop_.again(*this);
 }
 
 void Stream::resume() {
@@ -155,7 +173,9 @@
 
 // A failure is told by the loop, never from within: the event that comes with it is sure to follow.
 void Stream::flush() {
-  if (open() && !output_.empty() && !writeOutput()) loop_.again(*this);
+  if (!open() || output_.empty()) return;
+  if (!writeOutput()) return loop_.again(*this);
+  if (lingering_ && output_.empty()) outputGone();
 }
 
 }  // namespace heathflow::transport
--- a/src/transport/stream.h
+++ b/src/transport/stream.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <string_view>
 
 #include "transport/buffer.h"
@@ -52,11 +53,11 @@
   void resume();
   // Whether nothing has come in unnoticed: no bytes, no close, no error.
   bool quiet() const { return open() && input_.empty() && transport::quiet(fd_.get()); }
-  // What comes from now on is taken off the socket and thrown away, up to a bound; no input is reported any
-  // more.
-  void dropInput();
-  // Nothing more is sent; what the peer sends is still read.
-  void endSending();
+  // The orderly, lingering close: what is written still goes out, then sending ends. What comes meanwhile is
+  // thrown away and never reported. The stream ends at the peer's end, after so long, or at a bound of bytes.
+  void linger(Micros limit);
+  bool lingering() const { return lingering_; }
+  // At once. Of one that lingers what has come is dropped first, so that no reset overtakes what was sent.
   void close();
 
  private:
@@ -64,6 +65,8 @@
   void handle(std::uint32_t events);
   void readInput(bool hungUp);
   void dropSent();
+  bool dropTurn();
+  void outputGone();
   bool writeOutput();
   void end(StreamEnd how);
 
@@ -73,10 +76,12 @@
   Buffer output_;
   UniqueFd fd_;
   bool connecting_ = false;
-  bool dropping_ = false;
+  Timer lingerLimit_;
+  bool lingering_ = false;
   std::size_t dropped_ = 0;
-  bool stalled_ = false;  // the input was full when there was more to read
-  bool hungUp_ = false;   // and the peer has closed behind it
+  std::optional<StreamEnd> dropEnd_;  // how what was thrown away ended
+  bool stalled_ = false;              // the input was full when there was more to read
+  bool hungUp_ = false;               // and the peer has closed behind it
 };
 
 }  // namespace heathflow::transport
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -119,6 +119,7 @@
     if (keep) return;
     got += stream.input().view();
     stream.input().consume(stream.input().size());
+    stream.resume();
   }
   void onDrained() override { ++drained; }
   void onEnd(StreamEnd how) override {
@@ -135,9 +136,20 @@
   Stream stream;
 };
 
+enum class Over { Unix, Tcp };
+
 struct Pair {
-  explicit Pair(EventLoop& loop, Stream::Limits limits = {1 << 20, 1 << 20})
+  explicit Pair(EventLoop& loop, Stream::Limits limits = {1 << 20, 1 << 20}, Over over = Over::Unix)
       : a(loop, limits), b(loop, limits) {
+    if (over == Over::Tcp) {
+      const Opened listener = listenOn({0x7F000001, 0}, 1);
+      Opened opened = startConnect(*boundTo(listener.fd.get()));
+      EXPECT_TRUE(a.stream.adopt(std::move(opened.fd)));
+      Opened taken;
+      EXPECT_TRUE(until(loop, [&] { return (taken = acceptFrom(listener.fd.get())).error == 0; }));
+      EXPECT_TRUE(b.stream.adopt(std::move(taken.fd)));
+      return;
+    }
     int fds[2] = {-1, -1};
     EXPECT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, fds), 0);
     EXPECT_TRUE(a.stream.adopt(UniqueFd(fds[0])));
@@ -191,6 +203,85 @@
   EXPECT_TRUE(pair.b.stream.closed());
 }
 
+// Guards what stands behind a full input when the peer's end is there already, in order or not.
+TEST(Streams, ReadAllThatCameBeforeTheEndHoweverSmallTheirInput) {
+  for (const StreamEnd how : {StreamEnd::Closed, StreamEnd::Failed}) {
+    EventLoop loop;
+    Pair pair(loop, {2000, 1 << 20});
+    // Closed over unread bytes, a socket is reset.
+    if (how == StreamEnd::Failed) {
+      ASSERT_TRUE(pair.b.stream.output().append("unread"));
+      pair.b.stream.flush();
+    }
+    ASSERT_TRUE(pair.a.stream.output().append(std::string(50'000, 'q')));
+    pair.a.stream.flush();
+    pair.a.stream.close();
+    ASSERT_TRUE(until(loop, [&] { return pair.b.ended; }));
+    EXPECT_EQ(pair.b.got.size(), 50'000U);
+    EXPECT_EQ(pair.b.end, how);
+  }
+}
+
+// Guards the last words to a peer that sends on: they go out whole, and what it sends is never reported.
+TEST(Streams, ThatLingerSendWhatIsWrittenAndDropWhatComes) {
+  EventLoop loop;
+  Pair pair(loop, {8 << 20, 8 << 20}, Over::Tcp);
+  const std::string words(7'000'000, 'w');
+  ASSERT_TRUE(pair.a.stream.output().append(words));
+  pair.a.stream.linger(3'600'000'000);
+  EXPECT_FALSE(pair.a.stream.output().empty()) << "more than the kernel takes at once";
+  for (int i = 0; i < 10; ++i) {
+    ASSERT_TRUE(pair.b.stream.output().append(std::string(100'000, 'x')));
+    pair.b.stream.flush();
+    loop.turn(0);
+  }
+  ASSERT_TRUE(until(loop, [&] { return pair.b.ended; }));
+  EXPECT_EQ(pair.b.got, words);
+  EXPECT_EQ(pair.b.end, StreamEnd::Closed);
+  ASSERT_TRUE(until(loop, [&] { return pair.a.ended; }));
+  EXPECT_EQ(pair.a.got, "");
+  EXPECT_EQ(pair.a.drained, 0);
+}
+
+TEST(Streams, ThatLingerEndAtTheirBoundInTimeAndInBytes) {
+  EventLoop loop;
+  Pair silent(loop, {1 << 20, 1 << 20}, Over::Tcp);
+  silent.a.stream.linger(1'000);
+  EXPECT_TRUE(until(loop, [&] { return silent.a.ended; }));
+  EXPECT_TRUE(silent.a.stream.closed());
+  // One that sends on after the other's half-close.
+  const Opened listener = listenOn({0x7F000001, 0}, 1);
+  const Opened greedy = startConnect(*boundTo(listener.fd.get()));
+  Opened taken;
+  ASSERT_TRUE(until(loop, [&] { return (taken = acceptFrom(listener.fd.get())).error == 0; }));
+  Peer lingering(loop);
+  ASSERT_TRUE(lingering.stream.adopt(std::move(taken.fd)));
+  lingering.stream.linger(3'600'000'000);
+  std::size_t sent = 0;
+  const std::string piece(1 << 20, 'x');
+  EXPECT_TRUE(until(loop, [&] {
+    sent += writeSome(greedy.fd.get(), piece.data(), piece.size()).size;
+    loop.turn(0);
+    return lingering.ended;
+  }));
+  EXPECT_GT(sent, std::size_t{90} << 20);
+  EXPECT_EQ(lingering.got, "");
+}
+
+// Closed at once while it lingers: what has come is dropped first, so that what was sent is not overtaken.
+TEST(Streams, ThatLingerAreClosedWithoutAReset) {
+  EventLoop loop;
+  Pair pair(loop, {1 << 20, 1 << 20}, Over::Tcp);
+  ASSERT_TRUE(pair.a.stream.output().append("last words"));
+  pair.a.stream.linger(3'600'000'000);
+  ASSERT_TRUE(pair.b.stream.output().append("unread"));
+  pair.b.stream.flush();
+  pair.a.stream.close();
+  ASSERT_TRUE(until(loop, [&] { return pair.b.ended; }));
+  EXPECT_EQ(pair.b.got, "last words");
+  EXPECT_EQ(pair.b.end, StreamEnd::Closed);
+}
+
 // Guards the process: a fault in the handling of one connection ends that connection and no other.
 TEST(Streams, EndWhenTheirOwnerThrows) {
   EventLoop loop;
