--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 test: packages
 	cmake -B $(BUILD)-test -DCMAKE_BUILD_TYPE=Release -DHEATHFLOW_TESTS=ON
 	cmake --build $(BUILD)-test -j$(JOBS)
-	ctest --test-dir $(BUILD)-test --output-on-failure -j$(JOBS)
+	JOBS=$(JOBS) scripts/run-tests.sh $(BUILD)-test
 
 # Ten drivers between emulated members on loopback: a primary dies, a driver is killed, members drain.
 demo: packages
