Settings say what stands in for a missing key; the map of crossings; malformed, timeout

Found: without 'ConnectTimeout' the limit was 0, so that no connection to a member ever came up (seen in a test: ten failed connects, the request refused); a count of -1 was read as 4,294,967,295 and a time of 1e300 without a word (settings.cpp, read).

Change: what stands in for five keys is said at the start, and follows from the other settings or is the most cautious; numbers below 0 or too large are named. Names: spoilt is malformed (the counter too), patience a timeout; tests carry on under the new names. The module changes in that word alone.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -64,7 +64,7 @@
 constexpr Micros kBlockLeast = 250 * kMillisecond, kBlockMost = 4 * kSecond;
 // For how long connections count as scarce after one was turned away.
 constexpr Micros kScarceFor = 4 * kSecond;
-// Time-outs, broken connections and spoilt answers in a row that count as a failure.
+// Time-outs, broken connections and malformed answers in a row that count as a failure.
 constexpr int kFailuresToBlock = 3;
 
 // Guards a jammed group where routers see too little to limit themselves member by member: requests are
@@ -505,7 +505,7 @@
     if (!slow) peer.suspectUntil = now_ + settings_.connectTimeout;
   }
   // The same against one answer that can't be read.
-  const bool useless = reset || event.outcome == Outcome::TimedOut || event.outcome == Outcome::Spoilt;
+  const bool useless = reset || event.outcome == Outcome::TimedOut || event.outcome == Outcome::Malformed;
   if (useless && ++peer.failures >= kFailuresToBlock) strike(peer);
   // Guards against a member that is down without a word: our few requests there would not tell for long.
   if (silent && now_ - peer.probedAt > kBlockLeast) probe(peer, ProbeReason::Silent);
--- a/src/logic.h
+++ b/src/logic.h
@@ -89,7 +89,7 @@
   Micros deadline = 0;                   // when the client gives up
 };
 
-// Spoilt: the member spoke, but nothing in it can be used. As after an error or a reset it may have run.
+// Malformed: the member spoke, but nothing in it can be used. As after an error or a reset it may have run.
 // Withdrawn: its client let its time go by, with nothing owed by the member or an answer that it did not
 // take.
 enum class Outcome {
@@ -102,7 +102,7 @@
   Cancelled,
   NeverSent,
   Miss,
-  Spoilt,
+  Malformed,
   Withdrawn
 };
 
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -50,6 +50,7 @@
   for (const auto& found : problems) program::logLine(toText(found));
   if (!problems.empty()) return kUnusable;
   program::configureLog(installation.log);
+  for (const std::string& note : config.settings.notes) program::logLine(note);
   transport::EventLoop loop;
   program::Log log;
   log.setLinesPerSecond(installation.log.linesPerSecond);
--- a/src/protocol/bolt_client.h
+++ b/src/protocol/bolt_client.h
@@ -24,7 +24,7 @@
   explicit BoltClient(const BoltLogin& login) : login_(login) {}
 
   bool start(Buffer& out) override;
-  bool ask(std::string_view request, Slice patience, std::int64_t leftMs, Buffer& out) override;
+  bool ask(std::string_view request, Slice timeout, std::int64_t leftMs, Buffer& out) override;
   bool more(std::string_view message, Buffer& out) override;
   bool askProbe(Buffer& out) override;
   Event feed(std::string_view bytes, bool full, Buffer& out) override;
--- a/src/protocol/bolt_server.cpp
+++ b/src/protocol/bolt_server.cpp
@@ -354,9 +354,9 @@
   asked.keyed = !extra->key.empty();
   asked.repeat = extra->repeat;
   asked.session = extra->session;
-  asked.patienceMs = extra->timeoutMs;
+  asked.timeoutMs = extra->timeoutMs;
   if (extra->deadlineMs) {
-    asked.patienceMs = std::min(asked.patienceMs.value_or(*extra->deadlineMs), *extra->deadlineMs);
+    asked.timeoutMs = std::min(asked.timeoutMs.value_or(*extra->deadlineMs), *extra->deadlineMs);
   }
   if (extra->cluster) {
     asked.group = extra->cluster;
--- a/src/protocol/pg_protocol.cpp
+++ b/src/protocol/pg_protocol.cpp
@@ -63,9 +63,9 @@
   asked.id = comment->id;
   asked.className = comment->className;
   asked.group = comment->group;
-  asked.patienceMs = comment->patienceMs;
-  if (comment->patience.size != 0) {
-    asked.patience = {kHeaderSize + comment->patience.at, comment->patience.size};
+  asked.timeoutMs = comment->timeoutMs;
+  if (comment->timeout.size != 0) {
+    asked.timeout = {kHeaderSize + comment->timeout.at, comment->timeout.size};
   }
   asked.afterMs = comment->afterMs;
   asked.repeat = comment->repeat;
@@ -106,15 +106,15 @@
   writeError(out, true, codeFor(reason), message);
 }
 
-bool PgMemberSide::ask(std::string_view request, Slice patience, std::int64_t leftMs, Buffer& out) {
+bool PgMemberSide::ask(std::string_view request, Slice timeout, std::int64_t leftMs, Buffer& out) {
   const std::size_t before = out.size();
   answer_ = Answer{};
   const std::string_view statement = statementOf(request);
   // The statement goes out as it came, but for the time that is left.
-  const std::size_t at = patience.size == 0 ? 0 : patience.at - kHeaderSize;
-  if (patience.size == 0 ? !writeQuery(out, statement, {}, {})
-                         : !writeQuery(out, statement.substr(0, at), std::to_string(leftMs),
-                                       statement.substr(at + patience.size))) {
+  const std::size_t at = timeout.size == 0 ? 0 : timeout.at - kHeaderSize;
+  if (timeout.size == 0 ? !writeQuery(out, statement, {}, {})
+                        : !writeQuery(out, statement.substr(0, at), std::to_string(leftMs),
+                                      statement.substr(at + timeout.size))) {
     return false;
   }
   asked_ = out.size() - before;
--- a/src/protocol/pg_protocol.h
+++ b/src/protocol/pg_protocol.h
@@ -29,7 +29,7 @@
 class PgMemberSide final : public MemberSide {
  public:
   bool start(Buffer& out) override { return client_.start(out); }
-  bool ask(std::string_view request, Slice patience, std::int64_t leftMs, Buffer& out) override;
+  bool ask(std::string_view request, Slice timeout, std::int64_t leftMs, Buffer& out) override;
   bool more(std::string_view, Buffer&) override { return false; }
   bool askProbe(Buffer& out) override;
   Event feed(std::string_view bytes, bool full, Buffer& out) override;
--- a/src/protocol/request_comment.cpp
+++ b/src/protocol/request_comment.cpp
@@ -76,7 +76,7 @@
   RequestComment out;
   out.handle = pieces.handle;
   out.write = pieces.write;
-  enum Name { kId, kClass, kPatience, kGroup, kAfter, kRepeat, kKey };
+  enum Name { kId, kClass, kTimeout, kGroup, kAfter, kRepeat, kKey };
   constexpr std::array<std::string_view, 7> kNames = {"id", "c", "d", "cluster", "after", "r", "k"};
   std::array<bool, kNames.size()> seen{};
   std::string_view rest = pieces.comment;
@@ -100,9 +100,9 @@
         case kClass:
           out.className = value;
           break;
-        case kPatience:
-          good = readNumber(value, out.patienceMs);
-          out.patience = {static_cast<std::size_t>(value.data() - statement.data()), value.size()};
+        case kTimeout:
+          good = readNumber(value, out.timeoutMs);
+          out.timeout = {static_cast<std::size_t>(value.data() - statement.data()), value.size()};
           break;
         case kGroup:
           good = readNumber(value, out.group);
--- a/src/protocol/request_comment.h
+++ b/src/protocol/request_comment.h
@@ -13,9 +13,9 @@
   std::string_view id;
   std::string_view className;
   std::optional<std::uint32_t> group;
-  std::optional<std::int64_t> patienceMs;  // for how long the client waits
-  Slice patience;                          // where that stands in the statement
-  std::optional<std::int64_t> afterMs;     // the session's last write, Unix milliseconds
+  std::optional<std::int64_t> timeoutMs;  // for how long the client waits
+  Slice timeout;                          // where that stands in the statement
+  std::optional<std::int64_t> afterMs;    // the session's last write, Unix milliseconds
   bool repeat = false;
   bool keyed = false;       // it names an idempotency key
   bool write = false;       // the statement is the INSERT
--- a/src/protocol/wire.h
+++ b/src/protocol/wire.h
@@ -29,9 +29,9 @@
   std::string_view id;
   std::string_view className;
   std::optional<std::uint32_t> group;
-  std::optional<std::int64_t> patienceMs;  // for how long the client waits
-  Slice patience;                          // where that stands in the request, if it is told on from there
-  std::optional<std::int64_t> afterMs;     // what the read must see: a commit's position, Unix milliseconds
+  std::optional<std::int64_t> timeoutMs;  // for how long the client waits
+  Slice timeout;                          // where that stands in the request, if it is told on from there
+  std::optional<std::int64_t> afterMs;    // what the read must see: a commit's position, Unix milliseconds
   bool repeat = false;
   bool keyed = false;         // it names an idempotency key
   std::optional<bool> write;  // its own form says whether it writes; else its class does
@@ -123,7 +123,7 @@
   // Writes the start. False when the buffer has no room.
   virtual bool start(Buffer& out) = 0;
   // Writes a request; 'leftMs' is for how long its answer is waited for.
-  virtual bool ask(std::string_view request, Slice patience, std::int64_t leftMs, Buffer& out) = 0;
+  virtual bool ask(std::string_view request, Slice timeout, std::int64_t leftMs, Buffer& out) = 0;
   // Writes a further part of it. False, and nothing written, where there is no room at present.
   virtual bool more(std::string_view message, Buffer& out) = 0;
   virtual bool askProbe(Buffer& out) = 0;
--- a/src/rig/child.cpp
+++ b/src/rig/child.cpp
@@ -143,6 +143,6 @@
   return over_;
 }
 
-int Child::status() const { return WIFEXITED(status_) ? WEXITSTATUS(status_) : -1; }
+int Child::status() const { return WIFEXITED(status_) ? WEXITSTATUS(status_) : -WTERMSIG(status_); }
 
 }  // namespace heathflow::rig
--- a/src/rig/child.h
+++ b/src/rig/child.h
@@ -55,7 +55,7 @@
   std::optional<transport::Endpoint> endpoint();
 
   bool over();
-  // The exit status once it is over, -1 for an end by a signal.
+  // The exit status once it is over; below 0: of the signal that ended it.
   int status() const;
   pid_t pid() const { return pid_; }
   unsigned lives() const { return lives_; }
--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -27,7 +27,7 @@
 // An id longer than this is none.
 constexpr std::size_t kLongestId = 128;
 // Beyond this the time that a client gives a request is no time at all.
-constexpr std::int64_t kMostPatienceMs = 86'400'000;
+constexpr std::int64_t kLongestTimeoutMs = 86'400'000;
 
 }  // namespace
 
@@ -225,7 +225,7 @@
   request.repeat = asked->repeat;
   request.deadline =
       readAt_ +
-      (asked->patienceMs ? std::min(*asked->patienceMs, kMostPatienceMs) * kMicrosPerMilli : entry.deadline);
+      (asked->timeoutMs ? std::min(*asked->timeoutMs, kLongestTimeoutMs) * kMicrosPerMilli : entry.deadline);
   if (entry.consistency == Consistency::Session || entry.consistency == Consistency::Write) {
     // 0 stands for no session.
     request.session = asked->session.empty() ? 0 : std::max<std::uint64_t>(1, hashOf(asked->session));
@@ -239,7 +239,7 @@
   bound_ = false;
   request_ = 0;
   deadline_ = request.deadline;
-  router_.submit(*this, request, protocol_, asked->patience, request_);
+  router_.submit(*this, request, protocol_, asked->timeout, request_);
 }
 
 void ClientSession::rejectRequest(std::string_view message) {
--- a/src/routing/member_connection.cpp
+++ b/src/routing/member_connection.cpp
@@ -148,7 +148,7 @@
     break;
   }
   if (exchange_ != nullptr) owner_.onProtocolError(*this);
-  finish(ExchangeEnd::Cause::Spoilt, nullptr);
+  finish(ExchangeEnd::Cause::Malformed, nullptr);
 }
 
 // The exchange is over. The connection is kept where it can carry another.
--- a/src/routing/member_connection.h
+++ b/src/routing/member_connection.h
@@ -23,7 +23,7 @@
     Answered,    // with a whole answer
     TurnedDown,  // the connection was, by the member's word
     Broken,      // the connection ended
-    Spoilt,      // the member spoke, but what came makes no sense
+    Malformed,   // the member spoke, but what came makes no sense
     Unwanted,    // nothing was to be written any more when it could have been
   } cause = Cause::Broken;
   Stage stage = Stage::Connecting;
--- a/src/routing/outcome.cpp
+++ b/src/routing/outcome.cpp
@@ -26,7 +26,7 @@
   if (end.cause == ExchangeEnd::Cause::Unwanted) return Outcome::NeverSent;
   // Whatever ends it before its last byte is written, it has not run.
   if (end.stage == Stage::Connecting || end.stage == Stage::PartlyWritten) return Outcome::ConnectFailed;
-  if (end.cause == ExchangeEnd::Cause::Spoilt) return Outcome::Spoilt;
+  if (end.cause == ExchangeEnd::Cause::Malformed) return Outcome::Malformed;
   if (end.cause != ExchangeEnd::Cause::Answered) return Outcome::Reset;
   switch (end.answer->kind) {
     case Kind::Value:
@@ -78,7 +78,7 @@
   ProbeEnded event;
   // It lives, and has told nothing.
   event.turnedAway =
-      end.dropped || (end.cause == ExchangeEnd::Cause::Spoilt && end.stage != Stage::Connecting);
+      end.dropped || (end.cause == ExchangeEnd::Cause::Malformed && end.stage != Stage::Connecting);
   if (end.answer == nullptr) return event;
   if (end.answer->kind == Kind::Value) {
     event.ok = true;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -30,7 +30,7 @@
   RequestId id = 0;
   Requester* requester = nullptr;  // null once it has its answer or has left
   std::size_t protocol = 0;
-  protocol::Slice patience;
+  protocol::Slice timeout;
   Micros deadline = 0;
   AttemptState* bound = nullptr;  // a part of its answer has been passed on
   std::vector<std::unique_ptr<AttemptState>> attempts;
@@ -58,7 +58,7 @@
     }
     ++router.observer_.counters.attemptsWritten;
     const Micros left = std::max<Micros>(1, (until - router.loop_.now()) / kMicrosPerMilli);
-    return side.ask(request.requester->wire(), request.patience, left, out);
+    return side.ask(request.requester->wire(), request.timeout, left, out);
   }
   bool onPart(const protocol::Answer& answer, std::string_view bytes) override {
     return router.passOn(*this, answer, bytes);
@@ -189,14 +189,14 @@
   if (!rings_.empty()) ringTimer_.arm(rings_.top().at);
 }
 
-void Router::submit(Requester& requester, Request request, std::size_t protocol, protocol::Slice patience,
+void Router::submit(Requester& requester, Request request, std::size_t protocol, protocol::Slice timeout,
                     RequestId& id) {
   id = request.id = ++lastId_;
   auto state = std::make_unique<RequestState>();
   state->id = request.id;
   state->requester = &requester;
   state->protocol = protocol;
-  state->patience = patience;
+  state->timeout = timeout;
   state->deadline = request.deadline;
   requests_.emplace(request.id, std::move(state));
   ++observer_.counters.requestsTaken;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -47,10 +47,10 @@
   void start() { run(); }
 
   void membersChanged(MembersChanged event) { post(std::move(event)); }
-  // 'protocol': of the members' side, by the pool's index. 'patience': where the request tells for how long
+  // 'protocol': of the members' side, by the pool's index. 'timeout': where the request tells for how long
   // the client waits; it is rewritten for each attempt. The id is set before anything else happens, for the
   // answer may come within the call.
-  void submit(Requester& requester, Request request, std::size_t protocol, protocol::Slice patience,
+  void submit(Requester& requester, Request request, std::size_t protocol, protocol::Slice timeout,
               RequestId& id);
   // Whether so many bytes more of the request can be taken; where not, the requester is told when.
   bool takesMore(RequestId request, std::size_t size);
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,8 +1,10 @@
 #include "settings/settings.h"
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <type_traits>
 
 namespace heathflow::settings {
 namespace {
@@ -16,12 +18,28 @@
   return object.at(key);
 }
 
-template <typename T>
+[[noreturn]] void wrong(const char* key, const char* how) {
+  throw SettingsError(std::string("settings: the key '") + key + "' holds a value " + how);
+}
+
+// No time, count or share is below 0 or beyond what it is kept in; where time begins may be.
+enum class Sign { Positive, Any };
+
+template <typename T, Sign sign = Sign::Positive>
 T read(const Json& object, const char* key) {
+  const Json& value = need(object, key);
+  if constexpr (std::is_arithmetic_v<T> && !std::is_same_v<T, bool>) {
+    if (!value.is_number()) wrong(key, "of the wrong type");
+    const auto given = value.get<double>();
+    if (sign == Sign::Positive && given < 0) wrong(key, "below 0");
+    if (sign == Sign::Any && given <= static_cast<double>(std::numeric_limits<T>::lowest()))
+      wrong(key, "that is too small");
+    if (given >= static_cast<double>(std::numeric_limits<T>::max())) wrong(key, "that is too large");
+  }
   try {
-    return need(object, key).get<T>();
+    return value.get<T>();
   } catch (const Json::exception&) {
-    throw SettingsError(std::string("settings: the key '") + key + "' holds a value of the wrong type");
+    wrong(key, "of the wrong type");
   }
 }
 
@@ -90,6 +108,28 @@
   return layout;
 }
 
+// Guards against another deployment's values where a key is missing: what is taken in its place follows from
+// the other settings or is the most cautious there is, and it is said.
+void noteMissing(InstanceSettings& out) {
+  Settings& logic = out.logic;
+  const auto note = [&](const std::string& what) { out.notes.push_back("settings: " + what); };
+  if (logic.connectTimeout <= 0) {
+    for (const ClassSettings& entry : logic.classes)
+      logic.connectTimeout = std::max(logic.connectTimeout, entry.deadline);
+    note("no 'ConnectTimeout': a connection may take as long as the longest deadline");
+  }
+  if (out.idleTime <= 0) note("no 'ConnIdle': idle connections to members are kept");
+  if (logic.mustAsk && logic.askWithin <= 0) note("no 'AskWithin': the list is asked for every second");
+  for (std::size_t i = 0; i < logic.classes.size(); ++i) {
+    const ClassSettings& entry = logic.classes[i];
+    const std::string name = "class '" + out.classNames[i] + "': ";
+    if (entry.consistency == Consistency::Bounded && entry.maxAge <= 0)
+      note(name + "no 'MaxAge': its reads go to primaries");
+    if (entry.effect == Effect::Keyed && entry.window <= 0)
+      note(name + "no 'Window': it is never repeated once it may have run");
+  }
+}
+
 }  // namespace
 
 InstanceSettings parseSettings(std::string_view text) {
@@ -100,7 +140,7 @@
   InstanceSettings out;
   Settings& logic = out.logic;
   const Json& classes = need(json, "Classes");
-  if (!classes.is_array()) throw SettingsError("settings: the key 'Classes' holds a value of the wrong type");
+  if (!classes.is_array()) wrong("Classes", "of the wrong type");
   for (const Json& entry : classes) {
     logic.classes.push_back(readClass(entry));
     out.classNames.push_back(readOr<std::string>(entry, "Name", ""));
@@ -115,7 +155,7 @@
   }
   logic.guard = guardOf(readOr<std::string>(family, "Guards", ""));
   logic.tokens = tokenModeOf(readOr<std::string>(family, "TokenMode", ""));
-  out.positionZero = read<Micros>(family, "PositionZero");
+  out.positionZero = read<Micros, Sign::Any>(family, "PositionZero");
   out.answersShowPosition = readOr<bool>(family, "Positions", false);
   logic.drivers = std::max(1u, readOr<unsigned>(json, "Balancers", 1u));
   logic.tick = readOr<Micros>(json, "Tick", 0);
@@ -141,6 +181,7 @@
   logic.fallMultiple = readOr<double>(contract, "FallMultiple", 1.0);
 
   if (json.contains("Report")) out.report = readLayout(json.at("Report"));
+  noteMissing(out);
   return out;
 }
 
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -29,6 +29,8 @@
   bool answersShowPosition = false;
   std::vector<std::string> classNames;
   Micros idleTime = 0;  // after which members close an idle connection; 0: never
+  // What the text does not say, and what is taken in its place: a sentence each.
+  std::vector<std::string> notes;
 };
 
 // Throws SettingsError, naming the key, when the text is not JSON or lacks what is needed.
--- a/src/snapshot/snapshot.cpp
+++ b/src/snapshot/snapshot.cpp
@@ -90,7 +90,7 @@
   }
   const std::string_view content = bytes.substr(kHead);
   if (numberAt(bytes.substr(kMark.size() + 4, 8)) != XXH3_64bits(content.data(), content.size())) {
-    problem = "its checksum is wrong: it is cut or spoilt";
+    problem = "its checksum is wrong: it is cut or damaged";
     return {};
   }
   try {
--- a/src/snapshot/snapshot.h
+++ b/src/snapshot/snapshot.h
@@ -26,7 +26,7 @@
 
 // A file's bytes: a mark, a version, a checksum (xxHash) and the content (MessagePack).
 std::string encode(const Snapshot& snapshot);
-// Nothing where the bytes are cut, spoilt, of another driver or of a version that is not known; then
+// Nothing where the bytes are cut, damaged, of another driver or of a version that is not known; then
 // 'problem' says which.
 std::optional<Snapshot> decode(std::string_view bytes, const std::string& name, std::string& problem);
 
--- a/src/standins/gateway_rig.h
+++ b/src/standins/gateway_rig.h
@@ -94,11 +94,11 @@
 }
 
 inline std::string request(const std::string& className, const std::string& id, const std::string& more = "",
-                           long patienceMs = 50'000) {
+                           long timeoutMs = 50'000) {
   const std::string statement =
       className == "save" ? "INSERT INTO rows (handle, blob) VALUES ('key', '\\x9f03') RETURNING blob"
                           : "SELECT blob FROM rows WHERE handle = 'key'";
-  return statement + " /* id=" + id + ",c=" + className + ",d=" + std::to_string(patienceMs) + ",cluster=0" +
+  return statement + " /* id=" + id + ",c=" + className + ",d=" + std::to_string(timeoutMs) + ",cluster=0" +
          more + " */";
 }
 
--- a/src/standins/loopback.h
+++ b/src/standins/loopback.h
@@ -9,11 +9,11 @@
 namespace heathflow::test {
 
 // The longest that a test waits for an event. Nothing is concluded from how long it took.
-constexpr std::chrono::seconds kPatience{30};
+constexpr std::chrono::seconds kLongestWait{30};
 
 template <typename Condition>
 bool until(transport::EventLoop& loop, Condition&& condition) {
-  const auto end = std::chrono::steady_clock::now() + kPatience;
+  const auto end = std::chrono::steady_clock::now() + kLongestWait;
   while (!condition()) {
     if (std::chrono::steady_clock::now() > end) return false;
     loop.turn(20'000);
--- a/src/standins/standins.cpp
+++ b/src/standins/standins.cpp
@@ -103,7 +103,7 @@
   return speaks == Speaks::Bolt ? bolt::chunked("utter nonsense") : "utter nonsense";
 }
 
-std::vector<std::string> MemberStandIn::spoilt() const {
+std::vector<std::string> MemberStandIn::malformed() const {
   if (speaks == Speaks::Bolt) {
     return {nonsense(), bolt::record({bolt::text("first")}), half("v") + bolt::message(0x55, {}),
             half("v") + bolt::chunked("\xB1\x71\x91\xD0\xFF"
--- a/src/standins/standins.h
+++ b/src/standins/standins.h
@@ -167,10 +167,10 @@
   // Whole answers: a value, an error by its SQLSTATE.
   std::string value(std::string_view text, std::int64_t positionMs = 0) const;
   std::string error(const std::string& sqlstate) const;
-  // A value without its end, what is no answer at all, and answers that are spoilt in several ways.
+  // A value without its end, what is no answer at all, and answers that are malformed in several ways.
   std::string half(std::string_view text) const;
   std::string nonsense() const;
-  std::vector<std::string> spoilt() const;
+  std::vector<std::string> malformed() const;
   // Bolt's summary of what is over.
   bolt::Entries summary(std::int64_t positionMs = 0) const;
 
--- a/src/state.h
+++ b/src/state.h
@@ -46,7 +46,7 @@
   Micros slownessAt = kNever;
   double limit = 1;
   int strikes = 0;
-  int failures = 0;  // time-outs, broken connections and spoilt answers in a row
+  int failures = 0;  // time-outs, broken connections and malformed answers in a row
   Micros blockedUntil = kNever;
   Micros suspectUntil = kNever;  // something broke, and a probe is to tell whether it lives
   Micros heardAt = kNever;
--- a/tests/bolt_gateway_test.cpp
+++ b/tests/bolt_gateway_test.cpp
@@ -12,15 +12,15 @@
 constexpr const char* kInvalid = "Neo.ClientError.Request.Invalid";
 
 bolt::Entries about(const std::string& className, const std::string& id, bool reads,
-                    long patienceMs = 50'000) {
+                    long timeoutMs = 50'000) {
   bolt::Entries out = {
-      {"tx_timeout", bolt::integer(patienceMs)},
+      {"tx_timeout", bolt::integer(timeoutMs)},
       {"tx_metadata", bolt::map({{"class", bolt::text(className)}, {"id", bolt::text(id)}})}};
   if (reads) out.emplace_back("mode", bolt::text("r"));
   return out;
 }
-bolt::Entries write(const std::string& id, long patienceMs = 50'000) {
-  return about("save", id, false, patienceMs);
+bolt::Entries write(const std::string& id, long timeoutMs = 50'000) {
+  return about("save", id, false, timeoutMs);
 }
 bolt::Entries read(const std::string& id) { return about("any", id, true); }
 
@@ -558,7 +558,7 @@
     member->answer = [](Line& line, const std::string&) {
       std::string bytes = bolt::success({{"fields", bolt::list({bolt::text("n")})}});
       for (int i = 0; i < 20; ++i) bytes += bolt::record({bolt::text(std::string(10'000, 'r'))});
-      line.say(bytes + bolt::chunked("spoilt"));
+      line.say(bytes + bolt::chunked("malformed"));
     };
   }
   BoltClientStandIn client(rig.loop, rig.endpoint);
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -2,9 +2,12 @@
 // looks from outside at what the client read, what members received and how connections ended.
 // docs/crossings.md lists the pairs.
 #include <gtest/gtest.h>
+#include <signal.h>
 
+#include <atomic>
 #include <chrono>
 
+#include "program_process.h"
 #include "standins/gateway_rig.h"
 
 namespace heathflow::test {
@@ -214,6 +217,171 @@
   EXPECT_EQ(done, 1);
 }
 
+// Deadlines so short that the kill comes a second after the word to end, members that hang just then, a
+// request held for a primary that is not there, and a client that goes on asking: each has its one answer and
+// the process is done before the kill (the longest deadline and 0.7 s).
+TEST_P(ClosingRule, WhatHangsOrIsHeldIsAnsweredBeforeTheKill) {
+  GatewayOptions options = speaking();
+  options.byHand = true;
+  options.aimMs = 200;
+  options.deadlineMs = 400;
+  for (const bool held : {false, true}) {
+    GatewayRig rig(options, 1);
+    std::size_t asked = 0;
+    rig.answerAll([&](Line&, const std::string&) { ++asked; });
+    if (held) rig.members[0]->shut();
+    ClientStandIn client(rig.loop, rig.endpoint);
+    client.ask(request("save", "1", "", 60'000));
+    ASSERT_TRUE(rig.until([&] { return rig.counters().requestsTaken == 1 && (held || asked == 1); }));
+    const transport::Micros told = rig.loop.now();
+    bool done = false;
+    rig.gateway->drain([&] { done = true; });
+    ASSERT_TRUE(rig.until([&] { return !client.code().empty(); }));
+    EXPECT_LE(rig.loop.now(), told + 650'000);
+    EXPECT_TRUE(client.gone());
+    EXPECT_EQ(client.types(), GetParam() == Speaks::Bolt ? "E" : "EZ") << "one answer";
+    ASSERT_TRUE(rig.until([&] { return done; }));
+    EXPECT_LE(rig.loop.now(), told + 1'100'000);
+    EXPECT_LE(asked, 1U);
+  }
+}
+
+// A request that comes on an open connection after all others had their answer, and one behind it: the first
+// is answered at once, nothing is begun any more.
+TEST_P(ClosingRule, WhatIsAskedAfterTheLastAnswersIsRefusedAtOnce) {
+  GatewayOptions options = speaking();
+  options.byHand = true;
+  options.deadlineMs = 400;
+  options.aimMs = 200;
+  GatewayRig rig(options, 1);
+  PlainSocket late(rig.loop, rig.endpoint);
+  ASSERT_TRUE(late.send(openingOf(GetParam())));
+  // It has begun a message, so that it is not let go at the last call.
+  const std::string asks = askingOf(GetParam(), request("save", "1"));
+  ASSERT_TRUE(late.send(asks.substr(0, 3)));
+  rig.loop.turn(0);
+  const transport::Micros told = rig.loop.now();
+  rig.gateway->drain([] {});
+  ASSERT_TRUE(rig.until([&] { return rig.loop.now() > told + 700'000; }));
+  ASSERT_TRUE(late.send(asks.substr(3) + askingOf(GetParam(), request("save", "2"))));
+  EXPECT_TRUE(late.gone());
+  EXPECT_FALSE(late.reset);
+  EXPECT_TRUE(rig.statements().empty());
+  // In Bolt a failure has what stands behind it ignored.
+  EXPECT_EQ(rig.counters().requestsRefused, GetParam() == Speaks::Bolt ? 1U : 2U);
+}
+
+// The program itself, told to end at its very start: it ends at once or as it always does, and never hangs.
+TEST(CrossingProcess, ToldToEndBeforeItIsReady) {
+  transport::EventLoop loop;
+  MemberStandIn member(loop, kLoopback);
+  member.primary = true;
+  PlainListener silent(loop);  // discovery that takes connections and never answers
+  const std::string known = "[" + entry("m0", member.address(), true) + "]";
+  for (int i = 0; i < 20; ++i) {
+    Process process(configText({}, silent.address(), known));
+    // From before the program's first line to well behind it.
+    for (int spin = 0; spin < i * i * 20'000; ++spin) std::atomic_signal_fence(std::memory_order_seq_cst);
+    process.signal(SIGTERM);
+    ASSERT_TRUE(until(loop, [&] { return process.over(); })) << i;
+    // By the signal itself where it had not set up its handling yet; it had said nothing then.
+    if (process.status() != 0) {
+      EXPECT_EQ(process.status(), -SIGTERM);
+      EXPECT_EQ(process.log(), "");
+    }
+  }
+}
+
+// Discovery is silent, or away, from the start: the program is ready and serves by the list it was given.
+TEST(CrossingProcess, IsReadyWhileDiscoveryIsSilentOrAway) {
+  for (const bool away : {false, true}) {
+    transport::EventLoop loop;
+    MemberStandIn member(loop, kLoopback);
+    member.primary = true;
+    auto discovery = std::make_unique<PlainListener>(loop);
+    const std::string config =
+        configText({}, discovery->address(), "[" + entry("m0", member.address(), true) + "]");
+    if (away) discovery.reset();
+    Process process(config);
+    ASSERT_TRUE(until(loop, [&] { return process.says("serves at"); }));
+    ClientStandIn client(loop, process.endpoint());
+    client.ask(request("save", "1"));
+    ASSERT_TRUE(client.answered());
+    EXPECT_EQ(client.value(), "from " + member.address());
+    // Told twice to end, and to read its configuration again between the two, with a request out.
+    Line* held = nullptr;
+    member.answer = [&](Line& line, const std::string&) { held = &line; };
+    client.ask(request("save", "2"));
+    ASSERT_TRUE(until(loop, [&] { return held != nullptr; }));
+    process.signal(SIGTERM);
+    ASSERT_TRUE(until(loop, [&] { return process.says("told to end"); }));
+    process.signal(SIGHUP);
+    ASSERT_TRUE(until(loop, [&] { return process.says("was read again"); }));
+    process.signal(SIGTERM);
+    held->say(member.value("the last"));
+    ASSERT_TRUE(client.answered(2));
+    EXPECT_EQ(client.value(1), "the last");
+    ASSERT_TRUE(until(loop, [&] { return process.over(); }));
+    EXPECT_EQ(process.status(), 0);
+  }
+}
+
+// ---- Floods ----
+
+// One sends as much as it can, whole and half messages, and goes without reading: nothing of it stays, what
+// good clients hold meanwhile is theirs, and no more of it is begun than can have been read before it went.
+TEST_P(ClosingRule, OneThatSendsMuchAndGoesLeavesNothingBehind) {
+  GatewayRig rig(speaking(), 1);
+  ClientStandIn good(rig.loop, rig.endpoint);
+  good.ask(request("save", "good"));
+  ASSERT_TRUE(good.answered());
+  const std::size_t before = rig.loop.memory().taken();
+  for (int i = 0; i < 10; ++i) {
+    PlainSocket flood(rig.loop, rig.endpoint);
+    std::string much = openingOf(GetParam());
+    for (int k = 0; k < 200; ++k)
+      much += askingOf(GetParam(), request("save", std::to_string(i) + "-" + std::to_string(k)));
+    much += askingOf(GetParam(), request("save", "half")).substr(0, 40);
+    ASSERT_TRUE(flood.send(much));
+    flood.resetNow();
+  }
+  ASSERT_TRUE(rig.until([&] { return rig.counters().clientsAccepted == 11; }));
+  ASSERT_TRUE(rig.until([&] { return rig.counters().descriptors <= 1 + rig.members[0]->openLines(); }));
+  EXPECT_EQ(rig.loop.memory().taken(), before);
+  EXPECT_FALSE(good.ended());
+  good.ask(request("save", "still good"));
+  ASSERT_TRUE(good.answered(2));
+  EXPECT_EQ(good.types(), "TDCZTDCZ");
+}
+
+// Those that are turned away come again at once, again and again, while all places are taken: each is told
+// within its connection, those that hold a place keep it, and no descriptor is lost.
+TEST(CrossingFloods, WhoIsTurnedAwayAndComesAgainAtOnceIsToldEachTime) {
+  GatewayOptions options;
+  options.sockets = 100;  // less what is kept back sixty, half of which are for clients
+  GatewayRig rig(options, 1);
+  std::vector<Line*> held;
+  rig.answerAll([&](Line& line, const std::string&) { held.push_back(&line); });
+  std::vector<std::unique_ptr<ClientStandIn>> busy;
+  for (std::size_t i = 0; i < 30; ++i) {
+    busy.push_back(std::make_unique<ClientStandIn>(rig.loop, rig.endpoint));
+    busy.back()->ask(request("save", "busy" + std::to_string(i)));
+    ASSERT_TRUE(rig.until([&] { return rig.counters().requestsTaken == i + 1; }));
+  }
+  const std::size_t out = held.size();
+  for (int i = 0; i < 100; ++i) {
+    PlainSocket again(rig.loop, rig.endpoint);
+    ASSERT_TRUE(again.send(pg::startup() + pg::query(request("save", "again" + std::to_string(i)))));
+    ASSERT_TRUE(again.gone());
+    EXPECT_FALSE(again.reset);
+    EXPECT_EQ(again.lastCode(), "53300");
+  }
+  for (const auto& client : busy) EXPECT_FALSE(client->ended());
+  EXPECT_EQ(rig.counters().requestsTaken, 30U);
+  EXPECT_EQ(held.size(), out);
+  EXPECT_LE(rig.counters().descriptorsPeak, 100U);
+}
+
 // ---- Lists ----
 
 // Moves a gateway's discovery to another place.
@@ -432,22 +600,30 @@
 
 class DialRule : public ClosingRule {};
 
-// The one replica lets its connection wait; the list says that it drains before it comes up. Both orders of
-// welcome and list within one turn are the loop's; what counts is that nothing is sent behind the word.
-TEST_P(DialRule, ADrainToldWhileAConnectionComesUpKeepsTheRequestAway) {
-  GatewayRig rig(speaking(), 2);
-  ASSERT_TRUE(rig.until([&] { return rig.discovery.waiting != nullptr; }));
-  rig.members[1]->welcomes = false;
-  ClientStandIn client(rig.loop, rig.endpoint);
-  client.ask(request("any", "1"));
-  ASSERT_TRUE(rig.until([&] { return rig.members[1]->openLines() > 0; }));
-  const std::uint64_t before = rig.counters().listsTaken;
-  rig.discovery.tell("[" + rig.entryOf(1, "Terminating") + "]");
-  ASSERT_TRUE(rig.until([&] { return rig.counters().listsTaken > before; }));
-  rig.members[1]->welcomeNow();
-  ASSERT_TRUE(client.answered());
-  EXPECT_EQ(client.value(), "from " + rig.members[0]->address());
-  EXPECT_TRUE(rig.members[1]->statements.empty());
+// The one replica lets its connection wait, and the list that says that it drains is there in the turn of its
+// welcome. Read first, it keeps the request away; read second, it comes too late for one that is out.
+TEST_P(DialRule, ADrainToldInTheTurnInWhichAConnectionComesUp) {
+  for (const bool listFirst : {true, false}) {
+    GatewayRig rig(speaking(), 2);
+    ASSERT_TRUE(rig.until([&] { return rig.discovery.waiting != nullptr; }));
+    rig.members[1]->welcomes = false;
+    ClientStandIn client(rig.loop, rig.endpoint);
+    client.ask(request("any", "1"));
+    ASSERT_TRUE(
+        rig.until([&] { return rig.counters().attemptsMade == 1 && rig.members[1]->openLines() > 0; }));
+    if (!listFirst) rig.members[1]->welcomeNow();
+    rig.discovery.tell("[" + rig.entryOf(1, "Terminating") + "]");
+    if (listFirst) rig.members[1]->welcomeNow();
+    ASSERT_TRUE(client.answered());
+    EXPECT_EQ(client.types(), "TDCZ");
+    EXPECT_EQ(rig.statements().size(), 1U) << "once, wherever it was";
+    if (listFirst) {
+      EXPECT_TRUE(rig.members[1]->statements.empty());
+    }
+    client.ask(request("any", "2"));
+    ASSERT_TRUE(client.answered(2));
+    EXPECT_EQ(client.value(1), "from " + rig.members[0]->address()) << "what comes later goes elsewhere";
+  }
 }
 
 // A client that leaves while its attempt dials, before the welcome and in the turn of the welcome: nothing is
--- a/tests/documents_test.cpp
+++ b/tests/documents_test.cpp
@@ -20,8 +20,8 @@
   ASSERT_TRUE(comment);
   EXPECT_EQ(comment->id, "9b1f");
   EXPECT_EQ(comment->className, "basket");
-  EXPECT_EQ(comment->patienceMs, 480);
-  EXPECT_EQ(comment->patience.of(statement), "480");
+  EXPECT_EQ(comment->timeoutMs, 480);
+  EXPECT_EQ(comment->timeout.of(statement), "480");
   EXPECT_EQ(comment->group, 2U);
   EXPECT_EQ(comment->afterMs, 1767225600123);
   EXPECT_TRUE(comment->repeat);
@@ -36,8 +36,8 @@
   ASSERT_TRUE(comment);
   EXPECT_EQ(comment->group, 0U);
   EXPECT_EQ(comment->className, "a");
-  EXPECT_FALSE(comment->patienceMs);
-  EXPECT_EQ(comment->patience.size, 0U);
+  EXPECT_FALSE(comment->timeoutMs);
+  EXPECT_EQ(comment->timeout.size, 0U);
   EXPECT_FALSE(comment->repeat);
 }
 
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -14,6 +14,18 @@
   EXPECT_EQ(client.types(), "IZ");
 }
 
+// Guards a deployment whose settings name no limit for connections: theirs is the longest deadline, not none.
+TEST(GatewayServes, WithoutALimitForConnectionsInItsSettings) {
+  GatewayOptions options;
+  options.connectTimeoutMs = 0;
+  GatewayRig rig(options);
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask(request("any", "1"));
+  ASSERT_TRUE(client.answered());
+  EXPECT_EQ(client.types(), "TDCZ");
+  EXPECT_EQ(rig.counters().connectionsFailed, 0U);
+}
+
 TEST(GatewayServes, AValueByteForByte) {
   GatewayRig rig;
   std::string value;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -98,7 +98,7 @@
 TEST(Routing, SessionReadsGoToThePrimaryWhileAWriteOfTheirsMayHaveRunUnanswered) {
   Settings settings = makeSettings();
   settings.tokens = TokenMode::Remembered;
-  for (const Outcome outcome : {Outcome::Reset, Outcome::TimedOut, Outcome::Error, Outcome::Spoilt}) {
+  for (const Outcome outcome : {Outcome::Reset, Outcome::TimedOut, Outcome::Error, Outcome::Malformed}) {
     KnownRig rig(settings);
     const auto write = rig.ask(kUnsafeWrite, kS, {}, 9);
     EXPECT_EQ(rig.sentTo(rig.ask(kSession, 0, {}, 9)), Members{1}) << "its answer is on its way";
@@ -482,19 +482,19 @@
 
 // Guards a group against losing its primary, and its capacity as cold, to an answer that can't be read. One
 // that gives nothing else is left alone all the same.
-TEST(Failover, AMemberIsLeftAloneOnlyForSpoiltAnswersInARow) {
+TEST(Failover, AMemberIsLeftAloneOnlyForMalformedAnswersInARow) {
   KnownRig rig;
   for (int i = 0; i < 6; ++i) {
     const auto write = rig.ask(kUnsafeWrite);
     ASSERT_EQ(rig.sentTo(write), Members{1}) << i;
-    // Every other one is spoilt, and may have run.
-    rig.end(write, 0, i % 2 == 0 ? Outcome::Spoilt : Outcome::Ok);
+    // Every other one is malformed, and may have run.
+    rig.end(write, 0, i % 2 == 0 ? Outcome::Malformed : Outcome::Ok);
     EXPECT_EQ(rig.failures(write), i % 2 == 0 ? 1 : 0);
   }
   for (int i = 0; i < 3; ++i) {
     const auto write = rig.ask(kUnsafeWrite);
     ASSERT_EQ(rig.sentTo(write), Members{1}) << i;
-    rig.end(write, 0, Outcome::Spoilt);
+    rig.end(write, 0, Outcome::Malformed);
   }
   EXPECT_TRUE(rig.sentTo(rig.ask(kUnsafeWrite)).empty());
 }
--- a/tests/outcome_test.cpp
+++ b/tests/outcome_test.cpp
@@ -51,14 +51,15 @@
 }
 
 // Guards members against being left alone, and then taken for cold, for an answer that can't be read.
-TEST(OutcomeTable, ASpoiltAnswerMayHaveRunAndIsNoReset) {
+TEST(OutcomeTable, AMalformedAnswerMayHaveRunAndIsNoReset) {
   for (const Stage stage : {Stage::Written, Stage::Answering}) {
-    EXPECT_EQ(outcomeOf({Cause::Spoilt, stage, nullptr, {}}), Outcome::Spoilt);
+    EXPECT_EQ(outcomeOf({Cause::Malformed, stage, nullptr, {}}), Outcome::Malformed);
   }
   for (const Stage stage : {Stage::Connecting, Stage::PartlyWritten}) {
-    EXPECT_EQ(outcomeOf({Cause::Spoilt, stage, nullptr, {}}), Outcome::ConnectFailed);
+    EXPECT_EQ(outcomeOf({Cause::Malformed, stage, nullptr, {}}), Outcome::ConnectFailed);
   }
-  const ProbeEnded probe = probeEndOf(socketSettings(), {Cause::Spoilt, Stage::Answering, nullptr, {}}, kNow);
+  const ProbeEnded probe =
+      probeEndOf(socketSettings(), {Cause::Malformed, Stage::Answering, nullptr, {}}, kNow);
   EXPECT_FALSE(probe.ok);
   EXPECT_TRUE(probe.turnedAway) << "it lives";
 }
--- a/tests/rule_test.cpp
+++ b/tests/rule_test.cpp
@@ -327,13 +327,13 @@
 }
 
 // Guards the primary, and all that only it can serve, against one answer that can't be read: it is asked on.
-TEST_P(MembersRule, ThatSpoilAnAnswerAreAskedOn) {
+TEST_P(MembersRule, WhoseAnswersAreMalformedAreAskedOn) {
   GatewayRig rig({}, 1);
-  for (const std::string& spoilt : rig.members[0]->spoilt()) {
+  for (const std::string& malformed : rig.members[0]->malformed()) {
     Line* used = nullptr;
     rig.answerAll([&](Line& line, const std::string&) {
       used = &line;
-      line.say(spoilt);
+      line.say(malformed);
     });
     ClientStandIn writer(rig.loop, rig.endpoint);
     writer.ask(request("save", "1"));
@@ -347,7 +347,7 @@
     ASSERT_TRUE(next.answered());
     EXPECT_EQ(next.value(), "good");
   }
-  EXPECT_EQ(rig.outcomes(Outcome::Spoilt), 5U);
+  EXPECT_EQ(rig.outcomes(Outcome::Malformed), 5U);
   EXPECT_EQ(rig.outcomes(Outcome::Reset), 0U);
   EXPECT_EQ(rig.counters().requestsRefused, 0U);
 }
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -76,6 +76,43 @@
   EXPECT_TRUE(parseSettings(replaced(kSettingsText, "\"ask\"", "\"odd\"")).logic.mustAsk);
 }
 
+// Guards a deployment against another's values, and against none at all, where a key is missing.
+TEST(SettingsText, WhatStandsInForAMissingKeyIsSaid) {
+  const auto notesOf = [](const std::string& text) { return parseSettings(text).notes; };
+  const std::string full =
+      replaced(kSettingsText, "\"ConnectTimeout\"", "\"ConnIdle\": 1, \"ConnectTimeout\"");
+  EXPECT_TRUE(notesOf(full).empty());
+  for (const std::string key : {"ConnIdle", "ConnectTimeout", "AskWithin", "MaxAge", "Window"}) {
+    const auto notes = notesOf(replaced(full, "\"" + key + "\"", "\"X\""));
+    ASSERT_EQ(notes.size(), 1U) << key;
+    EXPECT_NE(notes[0].find("'" + key + "'"), std::string::npos) << notes[0];
+  }
+  // The longest deadline: no connection that a request could still use is given up.
+  EXPECT_EQ(parseSettings(replaced(full, "\"ConnectTimeout\"", "\"X\"")).logic.connectTimeout, 5'000'000);
+  // Where the list is pushed nobody asks for it.
+  EXPECT_TRUE(notesOf(replaced(replaced(full, "\"AskWithin\"", "\"X\""), "\"ask\"", "\"push\"")).empty());
+}
+
+TEST(SettingsText, ValuesThatCanNotBeAreNamed) {
+  EXPECT_EQ(complaint(replaced(kSettingsText, "\"Balancers\": 3", "\"Balancers\": 0")), "");
+  for (const std::string value : {"-1", "1e300", "\"3\"", "[]"}) {
+    for (const std::string key : {"\"MaxAttempts\": 10", "\"Balancers\": 3", "\"Aim\": 200000",
+                                  "\"Deadline\": 600000", "\"AskWithin\": 10000000", "\"ColdFrom\": 0.15"}) {
+      if (key.find("ColdFrom") != std::string::npos && value == "1e300") continue;
+      const std::string name = key.substr(1, key.find(':') - 2);
+      const std::string said = complaint(replaced(kSettingsText, key, "\"" + name + "\": " + value));
+      EXPECT_NE(said.find("'" + name + "'"), std::string::npos) << key << " " << value << ": " << said;
+    }
+  }
+}
+
+TEST(SettingsText, TimeMayBeginBeforeTheEpoch) {
+  const auto early = parseSettings(replaced(kSettingsText, "290469390756", "-290469390756"));
+  EXPECT_EQ(early.positionZero, -290469390756);
+  EXPECT_NE(complaint(replaced(kSettingsText, "290469390756", "-1e30")).find("PositionZero"),
+            std::string::npos);
+}
+
 TEST(SettingsText, WhatIsMissingOrWrongIsNamed) {
   EXPECT_NE(complaint("not json").find("not JSON"), std::string::npos);
   EXPECT_NE(complaint("[]").find("object"), std::string::npos);
--- a/tests/site_test.cpp
+++ b/tests/site_test.cpp
@@ -242,16 +242,16 @@
   scenario.snapshot = true;
   scenario.happenings = {{Happening::Kind::KillDrivers, kS, 1, 500 * kMs}};
   Site site(loop, scenario, HEATHFLOW_PROGRAM);
-  std::size_t spoilt = 0;
+  std::size_t malformed = 0;
   const Outcomes out = site.play([&](std::size_t, const Second&) {
     for (const auto& file : std::filesystem::directory_iterator(site.folder())) {
-      if (file.path().extension() != ".snapshot" || spoilt >= 2) continue;
-      std::ofstream(file.path(), std::ios::trunc) << "heathflow-snapshot\nspoilt";
-      ++spoilt;
+      if (file.path().extension() != ".snapshot" || malformed >= 2) continue;
+      std::ofstream(file.path(), std::ios::trunc) << "heathflow-snapshot\nmalformed";
+      ++malformed;
     }
     return true;
   });
-  EXPECT_EQ(spoilt, 2U);
+  EXPECT_EQ(malformed, 2U);
   EXPECT_TRUE(out.rulesKept());
   EXPECT_GT(out.seconds.back().served + out.seconds[out.seconds.size() - 2].served, 0U);
 }
--- a/tests/startup_test.cpp
+++ b/tests/startup_test.cpp
@@ -253,7 +253,7 @@
   EXPECT_EQ(back->usual, 4'200);
 }
 
-TEST(Snapshots, EveryCutAndEverySpoiltByteIsSeen) {
+TEST(Snapshots, EveryCutAndEveryDamagedByteIsSeen) {
   const std::string bytes = encode(example());
   std::string problem;
   for (std::size_t size = 0; size < bytes.size(); ++size) {
@@ -261,9 +261,9 @@
     EXPECT_FALSE(problem.empty());
   }
   for (std::size_t at = 0; at < bytes.size(); ++at) {
-    std::string spoilt = bytes;
-    spoilt[at] = static_cast<char>(spoilt[at] ^ 0x10);
-    EXPECT_FALSE(decode(spoilt, "n7", problem)) << at;
+    std::string damaged = bytes;
+    damaged[at] = static_cast<char>(damaged[at] ^ 0x10);
+    EXPECT_FALSE(decode(damaged, "n7", problem)) << at;
   }
 }
 
