Fresh reads go to no primary that refused a write or has gone quiet before it has spoken

Cause, by traced drivers (trials): group 2 hands over at 11.47 s. From 10.97 s on the old primary refuses writes ('end c=4 out=8 role=1', its word read-only), while its answers to reads say read-write ('end r=444 c=0 role=0'). learnRole took the later word for the newer truth, so that a fresh read went there at 11.610 ('send r=486 c=2 pAt=710.324 rAt=710.313') and its answer said read-only ('role=1'), which nobody looked at. To blame: primaryOf and vouched (logic.cpp), attemptEnded (router.cpp). Ruled out: positions, the list (listed at 5.7 s), a slow dial (written at once).

Change: reads that must be fresh or see their session's writes wait where a write was refused, until one is taken or the smallest bound has passed, and where a request of ours has been silent for a connect limit, until the server has spoken. A read that only a primary may answer is sent as such, and an answer that says otherwise is the new outcome Stale: tried again where it may run twice.

Tests: six in logic_test.cpp, a crossing on both protocols (seen to fail without it). Roles.AnAnswersWordOutlastsAnOldReport... wanted a fresh read sent on a claim right behind a refused write, which is this fault; it now wants a write sent then, the read only behind its success.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -16,13 +16,11 @@
 constexpr Micros kMillisecond = 1000, kSecond = 1000 * kMillisecond;
 
 // Positions. A probe is due when one is older than this share of the smallest bound (the design's half).
-constexpr double kProbeAtShare = 0.5;
 // Guards against asking a member again before it can have anything new to say: share of the age that is due.
-constexpr double kProbeGapShare = 0.5;
+constexpr double kProbeAtShare = 0.5, kProbeGapShare = 0.5;
 // Guards against probes ahead of reads that never come: one replica is kept known for so many in the bound.
-constexpr double kReadsPerKnown = 8;
 // Guards against probes that cost more than they bring: probes earned by each request, and the most saved.
-constexpr double kProbesPerRequest = 0.1, kProbesSaved = 20;
+constexpr double kReadsPerKnown = 8, kProbesPerRequest = 0.1, kProbesSaved = 20;
 // Guards against reads that slide onto the primary while a probe is on its way: share of the aim.
 constexpr double kProbeWaitShare = 0.125;
 // Guards against a carried age that was rounded on its way to us.
@@ -51,12 +49,11 @@
 constexpr double kOwnOrder = 0.8;
 // Guards against all routers choosing alike: scores differ by up to this share at random.
 constexpr double kJitter = 0.05;
-// How long a long read waits, as a share of its aim, before it takes a replica that is current.
-constexpr double kPackWait = 0.25;
 // How fast the record of what classes arrive moves.
 constexpr double kMixKept = 0.999;
+// How long a long read waits, as a share of its aim, before it takes a replica that is current.
 // Guards long reads against a member on which none has ended for so many usual latencies: no more are packed.
-constexpr double kPackPatience = 2;
+constexpr double kPackWait = 0.25, kPackTimeout = 2;
 // Makes a second try prefer a member that the request has not seen, and any try one known to live.
 constexpr double kTriedPenalty = 4;
 
@@ -67,8 +64,7 @@
 // Time-outs, broken connections and malformed answers in a row that count as a failure.
 constexpr int kFailuresToBlock = 3;
 
-// Guards a jammed group where routers see too little to limit themselves member by member: requests are
-// turned away beyond this multiple of what was lately served in time. How fast that record moves.
+// Guards jammed groups: requests beyond this multiple of what was lately served in time are turned away.
 constexpr double kServedMultiple = 1.5, kRecordGain = 0.2;
 
 // Tries. Guards against repeats that multiply an overload: what each request earns, and the most saved.
@@ -174,12 +170,16 @@
     return peer.primaryAt != kNever && peer.primaryAt == group.primaryAt;
   }
   bool vouched(const Peer& peer, const Job& job) const;
+  // Guards reads while a primary hands over: it refuses writes, and its reads go on saying that it leads.
+  bool denied(const Peer& peer) const { return now_ - peer.deniedAt < smallestBound_; }
+  Micros silence() const { return std::max(settings_.connectTimeout, kBlockLeast); }
+  bool quiet(const Peer& peer) const { return peer.inFlight > 0 && now_ - peer.heardAt > silence(); }
   // Nothing newer tells that it is a replica.
   static bool claims(const Peer& p) { return p.replicaAt == kNever || p.primaryAt > p.replicaAt; }
   bool takesPacks(const Peer& peer) const {
     return peer.ready && !peer.doubted && !blocked(peer) && (peer.longReads == 0 || now_ < peer.progressDue);
   }
-  Micros progressDue(std::size_t i) const { return now_ + part(kPackPatience, Micros(latencies_[i].value)); }
+  Micros progressDue(std::size_t i) const { return now_ + part(kPackTimeout, Micros(latencies_[i].value)); }
   // Guards against ghosts: one that nothing but the list vouches for and that failed gets probes only.
   bool ghost(const Peer& peer) const { return peer.strikes > 0 && peer.doubted; }
   double limitOf(const Peer& peer) const { return peer.strikes > 0 ? std::min(1.0, peer.limit) : peer.limit; }
@@ -312,7 +312,7 @@
     // A new launch is new evidence: an older claim to lead is void, and the record of its health starts anew.
     if (peer.primaryAt < member.launched) peer.primaryAt = kNever;
     peer.strikes = peer.failures = 0;
-    peer.blockedUntil = kNever;
+    peer.blockedUntil = peer.deniedAt = kNever;
     peer.slowness = 1;
     peer.limit = std::min(peer.limit, firstLimit());
   }
@@ -477,8 +477,9 @@
 
 void Logic::Impl::learnEnd(Peer& peer, const Job& job, const AttemptEnded& event) {
   const Micros sentAt = job.tries[event.attempt].sentAt;
-  const bool answered = event.outcome == Outcome::Ok || event.outcome == Outcome::Error ||
-                        event.outcome == Outcome::Full || event.outcome == Outcome::Miss;
+  const bool ok = event.outcome == Outcome::Ok;
+  const bool answered = ok || event.outcome == Outcome::Error || event.outcome == Outcome::Full ||
+                        event.outcome == Outcome::Miss || event.outcome == Outcome::Stale;
   if (answered) {
     heard(peer);
     // Nothing but a primary takes writes.
@@ -487,6 +488,7 @@
     // Guards against a claim that was on its way while its member fell.
     const Micros at = role == Role::Primary ? event.position.value_or(sentAt) : now_;
     if (event.role || refusedWrite) learnRole(peer, role, at);
+    if (refusedWrite || (ok && job.isWrite())) peer.deniedAt = refusedWrite ? now_ : kNever;
     // For a write that went through the position is its commit, which the primary holds.
     if (event.position) learnPosition(peer, *event.position);
   }
@@ -509,7 +511,6 @@
   if (useless && ++peer.failures >= kFailuresToBlock) strike(peer);
   // Guards against a member that is down without a word: our few requests there would not tell for long.
   if (silent && now_ - peer.probedAt > kBlockLeast) probe(peer, ProbeReason::Silent);
-  const bool ok = event.outcome == Outcome::Ok;
   // What its client takes back with the answer under way was being served.
   const bool unserved = event.outcome == Outcome::Full || event.outcome == Outcome::TimedOut ||
                         (event.outcome == Outcome::Cancelled && !job.bound);
@@ -671,6 +672,7 @@
 // have been listed, within their bound and since anything broke there. Else it is asked first.
 bool Logic::Impl::vouched(const Peer& peer, const Job& job) const {
   if (job.consistency == Consistency::Write || job.consistency == Consistency::Any) return true;
+  if (job.consistency != Consistency::Bounded && (denied(peer) || quiet(peer))) return false;
   if (!settings_.mayProbe || settings_.guard != Guard::Silent) return true;
   const Micros within = job.consistency == Consistency::Bounded ? classOf(job).maxAge : smallestBound_;
   return std::max(peer.toldAt, peer.listedAt) > std::max(peer.brokeAt, now_ - within);
@@ -714,8 +716,7 @@
     act(Refuse{request.id, 0});
     return;
   }
-  Job& job = jobs_[request.id];
-  job = Job{};
+  Job& job = jobs_.insert_or_assign(request.id, Job{}).first->second;
   job.request = request;
   job.arrived = now_;
   const ClassSettings& entry = classOf(job);
@@ -798,7 +799,7 @@
   }
   if (!vouched(*primary, job)) {
     job.hindrance = Hindrance::Probe;
-    probe(*primary, ProbeReason::Role);
+    denied(*primary) ? seek(group) : static_cast<void>(probe(*primary, ProbeReason::Role));
     return nullptr;
   }
   if (!toPrimary && jammed(group.primary, job)) {
@@ -892,9 +893,11 @@
 
 void Logic::Impl::send(Job& job, Peer& peer) {
   const double cost = costOf(job);
-  const Micros silence = std::max(settings_.connectTimeout, kBlockLeast);
-  const bool quiet = peer.inFlight > 0 && now_ - peer.heardAt > silence;
-  act(Attempt{job.request.id, peer.info.id, 0});
+  const bool wasQuiet = quiet(peer);
+  // Guards against one that fell after it last spoke: its own answer tells.
+  const bool leads = &peer == primaryOf(groupOf(peer.info.group), false);
+  const bool asPrimary = job.consistency == Consistency::Fresh || (leads && needOf(job) != kNever);
+  act(Attempt{job.request.id, peer.info.id, 0, asPrimary});
   const bool isLong = longRead(job.request.classIndex);
   job.tries.push_back({.member = peer.info.id, .sentAt = now_, .cost = cost, .isLong = isLong});
   if (isLong && peer.longReads++ == 0) peer.progressDue = progressDue(job.request.classIndex);
@@ -902,10 +905,10 @@
   if (peer.inFlight++ == 0) peer.heardAt = std::max(peer.heardAt, now_);
   peer.load += cost;
   allWork_ += cost;
-  if (&peer == primaryOf(groupOf(peer.info.group), false)) ledWork_ += cost;
+  if (leads) ledWork_ += cost;
   peer.sent.add(cost, now_, fallWindow());
   // Guards against a member that has gone quiet with requests of ours on it, which writes would never show.
-  if (quiet && now_ - peer.probedAt > silence) probe(peer, ProbeReason::Silent);
+  if (wasQuiet && now_ - peer.probedAt > silence()) probe(peer, ProbeReason::Silent);
 }
 
 void Logic::Impl::hold(Job& job, Group& group) {
@@ -1081,10 +1084,7 @@
         cancelPending(job);
         eraseIfDone(job.request.id);
       }
-      return;
     }
-    default:
-      return;
   }
 }
 
--- a/src/logic.h
+++ b/src/logic.h
@@ -89,6 +89,7 @@
   Micros deadline = 0;                   // when the client gives up
 };
 
+// Stale: an answer that only a primary may give came from one that says that it leads no more. It has run.
 // Malformed: the member spoke, but nothing in it can be used. As after an error or a reset it may have run.
 // Withdrawn: its client let its time go by, with nothing owed by the member or an answer that it did not
 // take.
@@ -103,7 +104,8 @@
   NeverSent,
   Miss,
   Malformed,
-  Withdrawn
+  Withdrawn,
+  Stale
 };
 
 // Events.
@@ -167,7 +169,8 @@
 struct Attempt {  // attempts of a request count from 0 in the order in which they are issued
   RequestId request = 0;
   MemberId member = 0;
-  Micros abandonAt = 0;  // 0: when the client gives up
+  Micros abandonAt = 0;    // 0: when the client gives up
+  bool asPrimary = false;  // an answer counts only while its member does not say that it leads no more
 };
 struct Cancel {
   RequestId request = 0;
--- a/src/program/counters.cpp
+++ b/src/program/counters.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::array<const char*, routing::kOutcomes> kOutcomeNames = {
     "ok",        "error",      "full", "timed_out", "connect_failed", "reset",
-    "cancelled", "never_sent", "miss", "malformed", "withdrawn"};
+    "cancelled", "never_sent", "miss", "malformed", "withdrawn",      "stale"};
 
 void addGroup(std::string& out, const char* group, const std::vector<Entry>& entries) {
   out += group;
--- a/src/routing/observer.h
+++ b/src/routing/observer.h
@@ -12,7 +12,7 @@
 
 namespace heathflow::routing {
 
-inline constexpr std::size_t kOutcomes = 11;  // of an attempt, in the order of Outcome
+inline constexpr std::size_t kOutcomes = 12;  // of an attempt, in the order of Outcome
 
 struct Counters {
   // Towards clients.
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -77,6 +77,7 @@
   MemberId member;
   Micros startedAt;
   Micros until = 0;
+  bool asPrimary = false;
   Micros waitedSince = 0;  // for its client, with nothing owed by the member; 0: it does not
   Micros waited = 0;       // and before that
   MemberConnection* connection = nullptr;
@@ -273,6 +274,7 @@
   ++state.pending;
   ++observer_.counters.attemptsMade;
   observer_.ledger.sent(action.member);
+  attempt.asPrimary = action.asPrimary;
   attempt.until = action.abandonAt == 0 ? state.deadline : std::min(action.abandonAt, state.deadline);
   if (state.requester == nullptr || attempt.until <= loop_.now()) {
     return attemptEnded(attempt, Outcome::NeverSent, nullptr);
@@ -323,8 +325,12 @@
   attempt.connection = nullptr;
   RequestState& state = attempt.request;
   const RequestId id = state.id;
-  ++observer_.counters.attemptsEnded[static_cast<std::size_t>(outcome)];
   AttemptEnded event;
+  if (end != nullptr) readNews(settings_, *end, loop_.now(), event);
+  // What a client has seen a part of can't be taken back.
+  const bool fell = attempt.asPrimary && event.role == Role::Replica && state.bound != &attempt;
+  if (outcome == Outcome::Ok && fell) outcome = Outcome::Stale;
+  ++observer_.counters.attemptsEnded[static_cast<std::size_t>(outcome)];
   event.request = id;
   event.attempt = attempt.index;
   event.member = attempt.member;
@@ -336,7 +342,6 @@
   event.undone = undone || (end != nullptr && end->undone);
   // A member that has no room for a connection says so.
   event.mayBeFull = end != nullptr && end->cause == ExchangeEnd::Cause::TurnedDown;
-  if (end != nullptr) readNews(settings_, *end, loop_.now(), event);
   --state.pending;
   // Once another attempt's answer is under way this one's is nobody's.
   const bool stray = state.bound != nullptr && state.bound != &attempt;
--- a/src/standins/gateway_rig.h
+++ b/src/standins/gateway_rig.h
@@ -31,7 +31,8 @@
   long askWithinMs = 10'000;
   long knownRevision = 1;
   const char* discovery = "ask";
-  bool byHand = false;  // time passes only while nothing is under way, and then at once
+  const char* statusEffect = "retryable";  // of the class "status"
+  bool byHand = false;                     // time passes only while nothing is under way, and then at once
 };
 
 inline std::string settingsText(const GatewayOptions& options) {
@@ -47,8 +48,8 @@
          times +
          ",\"Effect\":\"retryable\",\"Group\":\"all\",\"Name\":\"any\",\"Value\":2},"
          "{" +
-         times +
-         ",\"Effect\":\"retryable\",\"Group\":\"all\",\"Name\":\"status\",\"Value\":2},"
+         times + ",\"Effect\":\"" + options.statusEffect +
+         "\",\"Group\":\"all\",\"Name\":\"status\",\"Value\":2},"
          "{" +
          times +
          ",\"Effect\":\"fragile\",\"Group\":\"cell\",\"Name\":\"save\",\"Value\":3}],"
--- a/src/state.h
+++ b/src/state.h
@@ -37,6 +37,7 @@
   Micros primaryAt = kNever;   // the newest time at which it is known to have been the primary
   Micros replicaAt = kNever;   // the newest time at which it is known to have been a replica
   Micros toldAt = kNever;      // when it last spoke of its role
+  Micros deniedAt = kNever;    // when it refused a write as no primary, and has taken none since
   Micros listedAt = kNever;    // when the list first took it for the primary
   int inFlight = 0;
   double load = 0;              // own requests in flight, each weighed by its class
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -818,6 +818,41 @@
   }
 }
 
+// The primary falls between the write of a read that only a primary may answer and its answer, which says so:
+// it is not served, and asked for again where the new primary is. Where it may not run twice it is failed.
+TEST_P(MemberRule, AReadOnlyAPrimaryMayAnswerIsNotServedByOneThatFellMeanwhile) {
+  for (const std::string className : {"status", "view"}) {
+    for (const bool unsafe : {false, true}) {
+      if (unsafe && className == "view") continue;
+      GatewayOptions options = speaking();
+      options.maxAgeMs = 3'000;
+      if (unsafe) options.statusEffect = "fragile";
+      GatewayRig rig(options, 2);
+      rig.members[1]->lagMs = 100'000;  // too far behind for any bound
+      ClientStandIn client(rig.loop, rig.endpoint);
+      client.ask(request("status", "before"));
+      ASSERT_TRUE(client.answered());
+      rig.members[0]->answer = [&](Line& line, const std::string&) {
+        rig.members[0]->primary = false;
+        rig.members[1]->primary = true;
+        rig.members[1]->lagMs = 0;
+        line.say(rig.members[0]->value("stale"));
+      };
+      client.forget();
+      client.ask(request(className, "1"));
+      ASSERT_TRUE(client.answered());
+      EXPECT_EQ(rig.outcomes(Outcome::Stale), 1U) << className;
+      if (unsafe) {
+        EXPECT_EQ(client.types(), "EZ");
+        EXPECT_NE(client.code(), "53300") << "it has run";
+        EXPECT_TRUE(rig.members[1]->statements.empty());
+      } else {
+        EXPECT_EQ(client.value(), "from " + rig.members[1]->address()) << className;
+      }
+    }
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Members, MemberRule, testing::Values(Speaks::Postgres, Speaks::Bolt),
                          [](const auto& spoken) {
                            return std::string(spoken.param == Speaks::Postgres ? "Postgres" : "Bolt");
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -294,10 +294,98 @@
   rig.now += 100 * kMs;
   rig.probed(1, Role::Primary, rig.now - 150 * kMs);  // older than the answer
   EXPECT_EQ(rig.sentTo(rig.ask(kFresh)), Members{});
+  EXPECT_EQ(rig.sentTo(rig.ask(kUnsafeWrite)), Members{}) << "an older word";
+  rig.probed(1, Role::Primary, rig.now);
+  // Writes show by themselves whether it leads, and once it has taken one, reads that must be fresh go too.
+  const auto write = rig.ask(kUnsafeWrite);
+  EXPECT_EQ(rig.sentTo(write), Members{1});
+  const auto waits = rig.ask(kFresh);
+  EXPECT_EQ(rig.sentTo(waits), Members{}) << "it refused a write, and its word is as good as before that";
+  rig.end(write, 0, Outcome::Ok, Role::Primary, rig.now);
+  EXPECT_EQ(rig.sentTo(waits), Members{1});
+  EXPECT_EQ(rig.sentTo(rig.ask(kFresh)), Members{1});
+}
+
+// Guards the rule on stale reads: a primary that hands over refuses writes, while its reads and probes go on
+// saying that it leads. Reads within its bound go on, fresh ones wait for the new primary.
+TEST(Roles, FreshReadsWaitWhileAPrimaryHandsOver) {
+  KnownRig rig;
+  rig.end(rig.ask(kUnsafeWrite), 0, Outcome::Miss, Role::Replica);
+  rig.now += 20 * kMs;
+  rig.probed(1, Role::Primary, rig.now);
+  rig.probed(2, Role::Replica, rig.now - 10 * kS);
+  rig.probed(3, Role::Replica, rig.now - 10 * kS);
+  rig.forget();
+  const auto fresh = rig.ask(kFresh);
+  EXPECT_EQ(rig.sentTo(fresh), Members{});
+  rig.probed(2, Role::Primary, rig.now + 10 * kMs);
+  EXPECT_EQ(rig.sentTo(fresh), Members{2});
+}
+
+// Nobody else leads, and no write tells: after the smallest bound of all its word counts again.
+TEST(Roles, ARefusedWriteIsForgottenAfterTheSmallestBound) {
+  KnownRig rig;
+  rig.end(rig.ask(kUnsafeWrite), 0, Outcome::Miss, Role::Replica);
+  rig.now += 2900 * kMs;
+  rig.probed(1, Role::Primary, rig.now);
+  EXPECT_EQ(rig.sentTo(rig.ask(kFresh)), Members{});
+  rig.now += 200 * kMs;
   rig.probed(1, Role::Primary, rig.now);
   EXPECT_EQ(rig.sentTo(rig.ask(kFresh)), Members{1});
 }
 
+// Guards fresh reads against a primary that may have fallen while a request of ours got no answer there: it
+// is asked first.
+TEST(Roles, AFreshReadAsksAPrimaryThatHasGoneQuietFirst) {
+  KnownRig rig;
+  rig.ask(kUnsafeWrite);
+  rig.now += 200 * kMs;
+  EXPECT_EQ(rig.sentTo(rig.ask(kFresh)), Members{1}) << "not quiet yet";
+  rig.now += 100 * kMs;
+  rig.forget();
+  const auto fresh = rig.ask(kFresh);
+  EXPECT_EQ(rig.sentTo(fresh), Members{});
+  ASSERT_EQ(rig.probes(), 1U);
+  EXPECT_EQ(rig.all<Probe>()[0].member, 1U);
+  rig.probed(1, Role::Primary, rig.now);
+  EXPECT_EQ(rig.sentTo(fresh), Members{1});
+}
+
+// What only a primary may answer says so to whoever reads the answer; what a replica may, does not.
+TEST(Roles, ReadsThatOnlyAPrimaryMayAnswerAreSentAsSuch) {
+  KnownRig rig;
+  const auto asPrimary = [&](RequestId id) {
+    for (const Attempt& a : rig.all<Attempt>()) {
+      if (a.request == id) return a.asPrimary;
+    }
+    ADD_FAILURE() << "not sent";
+    return false;
+  };
+  EXPECT_TRUE(asPrimary(rig.ask(kFresh)));
+  EXPECT_FALSE(asPrimary(rig.ask(kUnsafeWrite)));
+  EXPECT_FALSE(asPrimary(rig.ask(kAny)));
+  EXPECT_FALSE(asPrimary(rig.ask(kBounded))) << "a replica covers it";
+  rig.now += 4 * kS;
+  rig.probed(1, Role::Primary, rig.now);
+  rig.probed(2, Role::Replica, rig.now - 10 * kS);
+  rig.probed(3, Role::Replica, rig.now - 10 * kS);
+  EXPECT_TRUE(asPrimary(rig.ask(kBounded))) << "none does";
+}
+
+// An answer of one that leads no more has run: a safe read goes on elsewhere, an unsafe one is failed.
+TEST(Roles, AStaleAnswerIsFollowedByAnotherTryWhereItMayBe) {
+  auto settings = makeSettings();
+  for (const Effect effect : {Effect::Safe, Effect::Unsafe}) {
+    settings.classes[kFresh].effect = effect;
+    KnownRig rig(settings);
+    const auto fresh = rig.ask(kFresh);
+    rig.end(fresh, 0, Outcome::Stale, Role::Replica);
+    rig.probed(2, Role::Primary, rig.now);
+    EXPECT_EQ(rig.sentTo(fresh).size(), effect == Effect::Safe ? 2U : 1U);
+    EXPECT_EQ(rig.failures(fresh), effect == Effect::Safe ? 0 : 1);
+  }
+}
+
 TEST(Roles, OfTwoClaimantsTheOneThatLedLastLeads) {
   Rig rig;
   rig.usualGroup();
