Read once more: one setting of two crossings instead of two copies

Found by reading the whole change: the two tests of an end behind an unread answer set themselves up in the same lines. Change: one function for both; their assertions stay.

--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -74,15 +74,20 @@
   EXPECT_EQ(sentOn, 3U);
 }
 
+// The client's first request is served, its answer is not read, and the gateway is told to end.
+void endBehindAnUnreadAnswer(GatewayRig& rig, PlainSocket& client, bool& done) {
+  ASSERT_TRUE(client.send(openingOf(rig.speaks) + askingOf(rig.speaks, request("any", "1"))));
+  ASSERT_TRUE(rig.until([&] { return rig.counters().requestsServed == 1; }));
+  rig.gateway->drain([&] { done = true; });
+}
+
 // Many more requests than one, in several pieces, come while the gateway lingers: the end is still one in
 // order, and the process waits for it.
 TEST_P(ClosingRule, TheEndWaitsForAClientThatWritesOnAndHasNotReadYet) {
   GatewayRig rig(speaking());
   PlainSocket client(rig.loop, rig.endpoint);
-  ASSERT_TRUE(client.send(openingOf(GetParam()) + askingOf(GetParam(), request("any", "1"))));
-  ASSERT_TRUE(rig.until([&] { return rig.counters().requestsServed == 1; }));
   bool done = false;
-  rig.gateway->drain([&] { done = true; });
+  ASSERT_NO_FATAL_FAILURE(endBehindAnUnreadAnswer(rig, client, done));
   for (int i = 0; i < 50; ++i) {
     ASSERT_TRUE(client.send(askingOf(GetParam(), request("any", "x" + std::to_string(i)))));
     rig.loop.turn(0);
@@ -100,10 +105,8 @@
 TEST_P(ClosingRule, TheEndComesThoughAClientNeverCloses) {
   GatewayRig rig(speaking());
   PlainSocket client(rig.loop, rig.endpoint);
-  ASSERT_TRUE(client.send(openingOf(GetParam()) + askingOf(GetParam(), request("any", "1"))));
-  ASSERT_TRUE(rig.until([&] { return rig.counters().requestsServed == 1; }));
   bool done = false;
-  rig.gateway->drain([&] { done = true; });
+  ASSERT_NO_FATAL_FAILURE(endBehindAnUnreadAnswer(rig, client, done));
   EXPECT_TRUE(rig.until([&] { return done; }));
   EXPECT_TRUE(client.gone());
   EXPECT_FALSE(client.reset);
