--- a/src/standins/standins.cpp
+++ b/src/standins/standins.cpp
@@ -356,10 +356,8 @@
   ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
 }
 
-PlainListener::PlainListener(transport::EventLoop& loop, std::uint32_t address) : loop_(loop) {
-  endpoint_ = {address, 0};
-  listener_ = listenAt(endpoint_);
-}
+PlainListener::PlainListener(transport::EventLoop& loop, std::uint32_t address)
+    : loop_(loop), endpoint_{address, 0}, listener_(listenAt(endpoint_)) {}
 
 std::unique_ptr<PlainSocket> PlainListener::next() {
   std::unique_ptr<PlainSocket> out;
--- a/src/standins/standins.h
+++ b/src/standins/standins.h
@@ -467,8 +467,8 @@
 
  private:
   transport::EventLoop& loop_;
-  transport::UniqueFd listener_;
   transport::Endpoint endpoint_;
+  transport::UniqueFd listener_;
 };
 
 }  // namespace heathflow::test
