The list of members is a lease; calls for it overlap and always fit into 6 s

A trace of all calls shows a list service that is down from 3.5 to 11.2 s (calls that are out as it returns are never answered), handles some 75 calls a second from 14.5 to 17.5 s, and drivers that give up after 1.9 s in its line and then wait for up to 4.2 s: n50 calls at 15.634, gives up at 17.534, calls again at 21.704 s. Ruled out by the same trace: attempts that wait for a connection (each was written as it was placed), and a driver's own list (none had named the member).

To blame: Caller::failed (waits of up to half of AskWithin, and Retry-After up to all of it), the first calls' window of 0.6 AskWithin, DiscoveryWatch::failed, which closes a call that is next in line, and nothing in the module that says how old the list may be. A second trace ended two guesses of mine: a refused watch kept the lease of its whole wait (n50 at 60 drivers: refused at 12.776, wrote at 19.476), and a driver restarted at 14.7 s counted its list of an earlier life for 6 s more (n118).

Now: a wait after a failure is at most a quarter of the 6 s, whatever failed and whatever Retry-After says; a call without an answer stays open beside the next, three at the most, and the first answer counts; watches wait as long as the service needs to be spared by renewals (2.5 s to AskWithin). ListLease says until when the list may be acted on; past that the module sends only to members that answered a probe within 6 s. Draining members turn probes away (57P03) and go on serving requests, so that an answered request shows nothing.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -104,6 +104,7 @@
  private:
   // Events.
   void on(const MembersChanged& event);
+  void on(const ListExpired& event) { stayingFor_ = event.stayingFor; }
   void on(const RequestArrived& event);
   void on(const AttemptEnded& event);
   void on(const AttemptStreaming& event) { finish(event.request); }
@@ -173,6 +174,12 @@
   // Guards reads while a primary hands over: it refuses writes, and its reads go on saying that it leads.
   bool denied(const Peer& peer) const { return now_ - peer.deniedAt < smallestBound_; }
   Micros silence() const { return std::max(settings_.connectTimeout, kBlockLeast); }
+  // Guards drains that a list not confirmed for long may have missed: the member's own word stands in for it.
+  bool unsure(const Peer& peer) const {
+    return stayingFor_ > 0 && settings_.mayProbe && now_ - peer.stayedAt >= stayingFor_;
+  }
+  // Guards one that turned a probe away for good reason against probes at the pace of their answers.
+  bool unwilling(const Peer& peer) const { return now_ - peer.unwillingAt < kBlockLeast; }
   bool quiet(const Peer& peer) const { return peer.inFlight > 0 && now_ - peer.heardAt > silence(); }
   // Nothing newer tells that it is a replica.
   static bool claims(const Peer& p) { return p.replicaAt == kNever || p.primaryAt > p.replicaAt; }
@@ -226,6 +233,7 @@
   double probeCredit_ = kProbesSaved, repeatCredit_ = kRepeatsSaved;
   Micros smallestBound_ = 0;
   Micros stopsAt_ = std::numeric_limits<Micros>::max();
+  Micros stayingFor_ = 0;  // after a probe, while the list has expired; 0: the list counts
   bool asked_ = false, subscribed_ = false;
   int askFailures_ = 0;
   std::uint64_t lists_ = 0;  // taken in so far
@@ -277,6 +285,7 @@
   }
   if (asked_) subscribed_ = true;
   askFailures_ = 0;
+  stayingFor_ = 0;
   ++lists_;
   for (const Member& member : event.members) update(member);
   // Who is missing from a complete list is gone.
@@ -383,7 +392,7 @@
 }
 
 bool Logic::Impl::probe(Peer& peer, ProbeReason reason) {
-  if (!settings_.mayProbe || peer.probing || !peer.ready) return false;
+  if (!settings_.mayProbe || peer.probing || !peer.ready || unwilling(peer)) return false;
   peer.probing = true;
   peer.probedAt = now_;
   act(Probe{peer.info.id, reason});
@@ -400,7 +409,8 @@
     const bool open = peer.probing && now_ - peer.probedAt < kSeekWait;
     // It is about to tell whether it leads, or, of the one that did, whether it lives.
     if ((open && peer.probedAt >= group.soughtAt) || (peer.probing && ledLast(peer, group))) return;
-    if (!peer.ready || blocked(peer) || (!due && peer.probedAt >= group.soughtAt)) continue;
+    if (!peer.ready || blocked(peer) || unwilling(peer)) continue;
+    if (!due && peer.probedAt >= group.soughtAt) continue;
     if (next == nullptr || std::pair(peer.position, -peer.order) > std::pair(next->position, -next->order))
       next = &peer;
   }
@@ -444,7 +454,9 @@
   if (peer == nullptr) return;
   peer->probing = false;
   peer->suspectUntil = kNever;
+  if (event.unwilling) peer->unwillingAt = now_;
   if (event.ok) {
+    peer->stayedAt = now_ - event.elapsed;
     heard(*peer);
     peer->blockedUntil = kNever;
     learnReport(*peer, event.report);
@@ -661,7 +673,7 @@
 
 // Whether a member may be sent a request that was placed on it a while ago.
 bool Logic::Impl::stillAllows(const Peer& peer, const Job& job, std::size_t own) {
-  if (job.over || job.bound || !peer.ready || !mayRun(job, &peer, own)) return false;
+  if (job.over || job.bound || !peer.ready || unsure(peer) || !mayRun(job, &peer, own)) return false;
   const bool leads = claims(peer) && vouched(peer, job);
   if (needsPrimary(job) || settings_.guard != Guard::Silent) return leads || !needsPrimary(job);
   const bool first = peer.listedAt != kNever || ledLast(peer, groupOf(job.request.group));
@@ -797,7 +809,7 @@
     seek(group);  // no guess: a server that may be stale gets no read
     return nullptr;
   }
-  if (!vouched(*primary, job)) {
+  if (unsure(*primary) || !vouched(*primary, job)) {
     job.hindrance = Hindrance::Probe;
     denied(*primary) ? seek(group) : static_cast<void>(probe(*primary, ProbeReason::Role));
     return nullptr;
@@ -836,11 +848,17 @@
   Peer* best = nullptr;
   Peer* advanced = nullptr;
   Peer* hopeful = nullptr;  // a probe may show it current enough
+  Peer* silent = nullptr;   // one may show that it stays
   bool probing = false;
   double bestScore = 0;
   for (const MemberId id : group.members) {
     Peer& peer = peers_.at(id);
     if (!peer.ready || &peer == primary || ghost(peer) || blocked(peer)) continue;
+    if (unsure(peer)) {
+      probing = probing || peer.probing;
+      if (!unwilling(peer) && (silent == nullptr || peer.order < silent->order)) silent = &peer;
+      continue;
+    }
     if (packed && !(takesPacks(peer) && ++place <= packs) && waited < kPackWait) {
       crowd = crowd.value_or(0);
       continue;
@@ -853,7 +871,8 @@
       // One that lagged too far may have caught up since, at half the speed of time.
       const bool near = peer.lag - (now_ - peer.lagAt) / 2 <= now_ - need;
       const bool first = hopeful == nullptr || peer.order < hopeful->order;
-      if (room && near && now_ - peer.probedAt >= freshen && first) hopeful = &peer;
+      const bool due = now_ - peer.probedAt >= freshen && !unwilling(peer);
+      if (room && near && due && first) hopeful = &peer;
       const bool tried =
           std::any_of(job.tries.begin(), job.tries.end(), [&](const Try& t) { return t.member == id; });
       const bool hopeless = peer.lag > now_ - need && now_ - peer.lagAt < now_ - need;
@@ -884,6 +903,7 @@
   if (spare && primary != nullptr && primary->load < kSpareShare * limitOf(*primary)) return nullptr;
   // A short wait for a probe spares the primary a read. Without a primary positions stand still.
   if (hopeful != nullptr && !probing && primary != nullptr) probing = probe(*hopeful, ProbeReason::Need);
+  if (silent != nullptr && !probing) probing = probe(*silent, ProbeReason::Silent);
   if (probing && waited < kProbeWaitShare) {
     crowd = spare ? 0 : kLimitMost;
     job.hindrance = Hindrance::Probe;
--- a/src/logic.h
+++ b/src/logic.h
@@ -113,6 +113,11 @@
   enum class Scope { Delta, Full, Failed } scope = Scope::Full;
   std::vector<Member> members;
 };
+// The list has not been confirmed for so long that a drain may have been missed. Until the next list a member
+// counts as staying for so long after a probe that it answered; one that drains turns probes away.
+struct ListExpired {
+  Micros stayingFor = 0;
+};
 struct RequestArrived {
   Request request;
 };
@@ -151,6 +156,7 @@
   Micros elapsed = 0;
   Report report;
   bool turnedAway = false;  // the member lives, but takes no more probes at present
+  bool unwilling = false;   // by its own word, for it wants nothing new at all: it starts, or drains
 };
 struct TimerFired {
   std::uint64_t token = 0;
@@ -162,8 +168,8 @@
 struct Stopping {
   Micros by = 0;
 };
-using Event = std::variant<MembersChanged, RequestArrived, AttemptEnded, AttemptStreaming, AttemptBound,
-                           AttemptConnected, ProbeEnded, TimerFired, ClientLeft, Stopping>;
+using Event = std::variant<MembersChanged, ListExpired, RequestArrived, AttemptEnded, AttemptStreaming,
+                           AttemptBound, AttemptConnected, ProbeEnded, TimerFired, ClientLeft, Stopping>;
 
 // Actions.
 struct Attempt {  // attempts of a request count from 0 in the order in which they are issued
--- a/src/program/gateway.cpp
+++ b/src/program/gateway.cpp
@@ -14,12 +14,6 @@
 using transport::Micros;
 constexpr Micros kMicrosPerSecond = 1'000'000;
 
-// PROTOCOL, Discovery: a watch waits at most 60 s. What it has to tell counts as told from its end on, so
-// that a shorter one, well inside the time within which a router must ask, shows sooner that nothing comes
-// through.
-constexpr Micros kWatchLeast = 1'000'000;
-constexpr Micros kWatchMost = 60'000'000;
-constexpr Micros kWatchesPerAskWithin = 4;
 // Without a limit in the settings an idle connection is kept as long as the kernel keeps a dead one.
 constexpr Micros kIdleForever = 7'200'000'000;
 
@@ -132,10 +126,6 @@
   return std::min(longest, kDeadlineCountedAtMost) + kKillAfterDeadline - kBeforeKill;
 }
 
-Micros watchFor(const Settings& settings) {
-  return std::clamp(settings.askWithin / kWatchesPerAskWithin, kWatchLeast, kWatchMost);
-}
-
 startup::CallerSettings callerSettings(const Config& config,
                                        const std::optional<snapshot::Snapshot>& earlier) {
   startup::CallerSettings out;
@@ -179,11 +169,11 @@
       directory_(pool_, usualDoors(protocols_), familyDoors(protocols_, installation), observer),
       caller_(callerSettings(config, earlier), loop.now()),
       watch_(
-          loop, config.discovery, watchFor(config.settings.logic), caller_, observer,
-          [this](const protocol::MemberList& list) { take(list); },
+          loop, config.discovery, caller_, observer, [this](const protocol::MemberList& list) { take(list); },
           [this] {
             router_.membersChanged({MembersChanged::Scope::Failed, {}});
-          }),
+          },
+          [this] { router_.listExpired({startup::kToldWithin}); }),
       shared_(config.settings.classNames) {
   if (earlier) memory_ = *earlier;
   loop.memory().setLimit(config.memory / kPartForBuffers);
--- /dev/null
+++ b/src/routing/discovery_call.cpp
@@ -0,0 +1,106 @@
+#include "routing/discovery_call.h"
+
+#include <utility>
+
+namespace heathflow::routing {
+namespace {
+
+using startup::CallFailure;
+using transport::kMicrosPerMilli;
+constexpr std::size_t kBodyLimit = 8 * 1024 * 1024;
+constexpr transport::Stream::Limits kLimits = {64 * 1024, 4 * 1024};
+constexpr Micros kMicrosPerSecond = 1'000'000;
+
+std::string pathOf(std::int64_t since, Micros wait) {
+  std::string path = "/v1/endpoints";
+  if (since < 0) return path;
+  return path + "?since=" + std::to_string(since) + "&timeout_ms=" + std::to_string(wait / kMicrosPerMilli);
+}
+
+}  // namespace
+
+DiscoveryCall::DiscoveryCall(transport::EventLoop& loop, const transport::Endpoint& endpoint,
+                             DiscoveryCallOwner& owner)
+    : loop_(loop), endpoint_(endpoint), owner_(owner) {}
+
+void DiscoveryCall::start(std::int64_t since, Micros wait) {
+  asking_ = true;
+  startedAt_ = loop_.now();
+  immediate_ = since < 0 || wait <= kMicrosPerMilli;
+  request_ = "GET " + pathOf(since, wait) + " HTTP/1.1\r\nHost: " + toText(endpoint_) +
+             "\r\nAccept: application/json\r\n\r\n";
+  reused_ = stream_ != nullptr && stream_->quiet();
+  if (reused_) return send();
+  open();
+}
+
+void DiscoveryCall::close() {
+  asking_ = false;
+  response_.reset();
+  if (!stream_) return;
+  stream_->close();
+  loop_.retire(std::move(stream_));
+}
+
+void DiscoveryCall::open() {
+  if (stream_) loop_.retire(std::move(stream_));
+  stream_ = std::make_unique<transport::Stream>(loop_, static_cast<transport::StreamOwner&>(*this), kLimits);
+  int error = 0;
+  if (!stream_->connect(endpoint_, error)) fail(CallFailure::Unreachable, "it can't be reached");
+}
+
+void DiscoveryCall::send() {
+  response_ = std::make_unique<protocol::HttpResponse>(kBodyLimit);
+  stream_->output().append(request_);
+  stream_->flush();
+}
+
+void DiscoveryCall::onInput() {
+  if (!asking_ || !response_) {
+    // Nobody asked: what comes now would be taken for the next answer.
+    stream_->close();
+    return;
+  }
+  stream_->input().consume(response_->feed(stream_->input().view()));
+  stream_->resume();
+  if (response_->state() != protocol::HttpResponse::State::Reading) finish();
+}
+
+void DiscoveryCall::onEnd(transport::StreamEnd how) {
+  if (!asking_) return;
+  // A kept connection that closes as it is used says nothing of the service: once more, on a new one.
+  if (reused_ && (!response_ || !response_->begun())) {
+    reused_ = false;
+    return open();
+  }
+  if (!response_) return fail(CallFailure::Unreachable, "it can't be reached");
+  // Guards against half a list: where a response has no length only an orderly close ends it, and no reset.
+  if (!response_->begun() || how != transport::StreamEnd::Closed)
+    return fail(CallFailure::Broken, "its connection broke");
+  response_->ended();
+  finish();
+}
+
+void DiscoveryCall::finish() {
+  if (response_->state() == protocol::HttpResponse::State::Malformed)
+    return fail(CallFailure::Unreadable, "its response can't be read");
+  if (response_->status() != 200) {
+    std::optional<Micros> retryAfter;
+    if (const auto seconds = response_->retryAfter()) retryAfter = *seconds * kMicrosPerSecond;
+    return fail(CallFailure::TurnedAway, "status " + std::to_string(response_->status()), retryAfter);
+  }
+  std::string problem;
+  const auto list = protocol::parseMemberList(response_->body(), problem);
+  if (!list) return fail(CallFailure::Unreadable, "its list can't be read: " + problem);
+  asking_ = false;
+  if (!response_->keepAlive() || !stream_->input().empty()) stream_->close();
+  response_.reset();
+  owner_.onList(*this, *list);
+}
+
+void DiscoveryCall::fail(CallFailure how, const std::string& text, std::optional<Micros> retryAfter) {
+  close();
+  owner_.onProblem(*this, {how, text, retryAfter});
+}
+
+}  // namespace heathflow::routing
--- a/src/routing/discovery_watch.cpp
+++ b/src/routing/discovery_watch.cpp
@@ -1,37 +1,40 @@
 #include "routing/discovery_watch.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace heathflow::routing {
 namespace {
 
 using startup::CallFailure;
 using transport::kMicrosPerMilli;
-constexpr std::size_t kBodyLimit = 8 * 1024 * 1024;
-constexpr transport::Stream::Limits kLimits = {64 * 1024, 4 * 1024};
-// How late an answer may be. PROTOCOL, Figures, and STANDING: what a silent call misses counts as told 6 s
-// after it fell silent, or 2 s after a wait that is over later. The next call has to bring it by then.
-constexpr Micros kAnswerWithin = 1'900'000;
-constexpr Micros kAnswerAfterWait = 1'400'000;
 // PROTOCOL, Discovery: a watch lasts as long as the next call comes within 200 ms. Guards against a tight
 // loop with a service that answers at once though nothing is new.
 constexpr Micros kSoonest = 50'000;
-// The first call asks for what is new and waits for nothing.
+// The first call, and one after a failure, asks for what is new and waits for nothing.
 constexpr Micros kNoWait = kMicrosPerMilli;
-constexpr Micros kMicrosPerSecond = 1'000'000;
+// So many calls may be out beside the newest one. One that is closed gives up its place in the service's
+// line, while one that stays may be dead: it was out as the service went down, or its path is cut.
+constexpr std::size_t kOverdueMost = 2;
 
 }  // namespace
 
 DiscoveryWatch::DiscoveryWatch(transport::EventLoop& loop, const transport::Endpoint& endpoint,
-                               Micros watchFor, startup::Caller& caller, Observer& observer, OnList onList,
-                               OnFailure onFailure)
+                               startup::Caller& caller, Observer& observer, OnList onList,
+                               OnFailure onFailure, OnLeaseEnd onLeaseEnd)
     : loop_(loop),
       endpoint_(endpoint),
-      watchFor_(watchFor),
       caller_(caller),
       observer_(observer),
       onList_(std::move(onList)),
       onFailure_(std::move(onFailure)),
-      limit_(loop, [this] { failed(CallFailure::Silent, "no answer in time"); }),
-      next_(loop, [this] { call(nextWait_); }) {}
+      onLeaseEnd_(std::move(onLeaseEnd)),
+      lease_(loop.now(), caller.ownService()),
+      leaseEnd_(loop, [this] { onLeaseEnd_(); }),
+      answerDue_(loop, [this] { unanswered(); }),
+      next_(loop, [this] { call(nextWait_); }) {
+  leaseChanged();
+}
 
 void DiscoveryWatch::subscribe() {
   wanted_ = true;
@@ -46,124 +49,120 @@
   next_.arm(at);
 }
 
-// What the old place still had to say is part of the whole list that the new one gives, so its call ends
+// What the old place still had to say is part of the whole list that the new one gives, so its calls end
 // here. Revisions are not compared across the two.
 void DiscoveryWatch::moveTo(const transport::Endpoint& endpoint) {
   if (endpoint == endpoint_) return;
   endpoint_ = endpoint;
   hangUp();
   revision_ = -1;
+  lease_.moved(loop_.now());
+  leaseChanged();
   if (wanted_) callAt(caller_.moved(loop_.now()), kNoWait);
 }
 
 void DiscoveryWatch::call(Micros wait) {
+  if (!newest_)
+    newest_ = std::make_unique<DiscoveryCall>(loop_, endpoint_, static_cast<DiscoveryCallOwner&>(*this));
   calling_ = true;
-  calledAt_ = loop_.now();
-  atOnce_ = revision_ < 0 || wait <= kNoWait;
-  std::string path = "/v1/endpoints";
-  if (revision_ >= 0) {
-    path += "?since=" + std::to_string(revision_) + "&timeout_ms=" + std::to_string(wait / kMicrosPerMilli);
+  watching_ = wait > kNoWait;
+  if (watching_) {
+    lease_.watching(loop_.now(), wait);
+    leaseChanged();
   }
-  request_ =
-      "GET " + path + " HTTP/1.1\r\nHost: " + toText(endpoint_) + "\r\nAccept: application/json\r\n\r\n";
   ++observer_.counters.discoveryCalls;
-  limit_.arm(loop_.now() + (wait <= kNoWait ? kAnswerWithin : wait + kAnswerAfterWait));
-  reused_ = stream_ != nullptr && stream_->quiet();
-  if (reused_) return send();
-  open();
+  answerDue_.arm(loop_.now() + (watching_ ? wait + startup::kAnswerAfterWait : startup::kAnswerWithin));
+  newest_->start(revision_, wait);
 }
 
-void DiscoveryWatch::open() {
-  if (stream_) loop_.retire(std::move(stream_));
-  stream_ = std::make_unique<transport::Stream>(loop_, static_cast<transport::StreamOwner&>(*this), kLimits);
-  int error = 0;
-  if (!stream_->connect(endpoint_, error)) failed(CallFailure::Unreachable, "it can't be reached");
+// Whichever call is answered first has the newest word: all were asked from the same revision.
+void DiscoveryWatch::onList(DiscoveryCall& call, const protocol::MemberList& list) {
+  keepOnly(call);
+  calling_ = false;
+  answerDue_.disarm();
+  next_.disarm();
+  const Micros elapsed = loop_.now() - call.startedAt();
+  if (call.immediate()) {
+    caller_.answered(elapsed);
+  } else {
+    caller_.told();
+  }
+  lease_.confirmed(loop_.now());
+  leaseChanged();
+  const bool news = list.revision != revision_;
+  revision_ = list.revision;
+  const Micros watchFor = caller_.watchFor();
+  const bool early = !news && elapsed < watchFor / 2;
+  onList_(list);
+  if (calling_) return;
+  if (early) {
+    callAt(loop_.now() + kSoonest, watchFor);
+  } else {
+    this->call(watchFor);
+  }
 }
 
-void DiscoveryWatch::onOpen() { send(); }
-
-void DiscoveryWatch::send() {
-  response_ = std::make_unique<protocol::HttpResponse>(kBodyLimit);
-  stream_->output().append(request_);
-  stream_->flush();
+void DiscoveryWatch::onProblem(DiscoveryCall& call, const CallProblem& problem) {
+  if (&call == newest_.get()) return failed(problem);
+  // It has counted as failed since it was overdue.
+  const auto at =
+      std::find_if(overdue_.begin(), overdue_.end(), [&](const auto& entry) { return entry.get() == &call; });
+  if (at == overdue_.end()) return;
+  loop_.retire(std::move(*at));
+  overdue_.erase(at);
 }
 
-void DiscoveryWatch::onInput() {
-  if (!calling_ || !response_) {
-    // Nobody asked: what comes now would be taken for the next answer.
-    stream_->close();
-    return;
+// The newest call has no answer in time. It stays open beside the next one.
+void DiscoveryWatch::unanswered() {
+  overdue_.push_back(std::move(newest_));
+  if (overdue_.size() > kOverdueMost) {
+    overdue_.front()->close();
+    loop_.retire(std::move(overdue_.front()));
+    overdue_.erase(overdue_.begin());
   }
-  stream_->input().consume(response_->feed(stream_->input().view()));
-  stream_->resume();
-  if (response_->state() != protocol::HttpResponse::State::Reading) finished();
+  failed({CallFailure::Silent, "no answer in time", {}});
 }
 
-void DiscoveryWatch::onEnd(transport::StreamEnd how) {
-  if (!calling_) return;
-  // A kept connection that closes as it is used says nothing of discovery: once more, on a new one.
-  if (reused_ && (!response_ || !response_->begun())) {
-    reused_ = false;
-    return open();
-  }
-  if (!response_) return failed(CallFailure::Unreachable, "it can't be reached");
-  // Guards against half a list: where a response has no length only an orderly close ends it, and no reset.
-  if (!response_->begun() || how != transport::StreamEnd::Closed)
-    return failed(CallFailure::Broken, "its connection broke");
-  response_->ended();
-  finished();
+// The list stays as it was.
+void DiscoveryWatch::failed(const CallProblem& problem) {
+  calling_ = false;
+  answerDue_.disarm();
+  const bool told = problem.how == CallFailure::TurnedAway || problem.how == CallFailure::Broken;
+  if (watching_ && told) lease_.watchEnded(loop_.now());
+  lease_.callFailed(loop_.now());
+  leaseChanged();
+  callAt(caller_.failed(loop_.now(), problem.how, problem.retryAfter), kNoWait);
+  ++observer_.counters.discoveryFailures;
+  observer_.note(Topic::Discovery, "a call to discovery failed: " + problem.text);
+  onFailure_();
 }
 
-void DiscoveryWatch::finished() {
-  if (response_->state() == protocol::HttpResponse::State::Malformed)
-    return failed(CallFailure::Unreadable, "its response can't be read");
-  if (response_->status() != 200) {
-    std::optional<Micros> retryAfter;
-    if (const auto seconds = response_->retryAfter()) retryAfter = *seconds * kMicrosPerSecond;
-    return failed(CallFailure::TurnedAway, "status " + std::to_string(response_->status()), retryAfter);
+// Ends all calls but one, which is the newest from then on.
+void DiscoveryWatch::keepOnly(DiscoveryCall& call) {
+  if (&call != newest_.get()) {
+    if (newest_) overdue_.push_back(std::move(newest_));
+    const auto at = std::find_if(overdue_.begin(), overdue_.end(),
+                                 [&](const auto& entry) { return entry.get() == &call; });
+    newest_ = std::move(*at);
+    overdue_.erase(at);
   }
-  std::string problem;
-  const auto list = protocol::parseMemberList(response_->body(), problem);
-  if (!list) return failed(CallFailure::Unreadable, "its list can't be read: " + problem);
-  calling_ = false;
-  if (atOnce_) {
-    caller_.answered(loop_.now() - calledAt_);
-  } else {
-    caller_.told();
-  }
-  limit_.disarm();
-  if (!response_->keepAlive() || !stream_->input().empty()) stream_->close();
-  response_.reset();
-  const bool news = list->revision != revision_;
-  revision_ = list->revision;
-  const bool early = !news && loop_.now() - calledAt_ < watchFor_ / 2;
-  onList_(*list);
-  if (calling_) return;
-  if (early) {
-    callAt(loop_.now() + kSoonest, watchFor_);
-  } else {
-    call(watchFor_);
+  for (auto& entry : overdue_) {
+    entry->close();
+    loop_.retire(std::move(entry));
   }
+  overdue_.clear();
 }
 
 void DiscoveryWatch::hangUp() {
   calling_ = false;
-  limit_.disarm();
+  answerDue_.disarm();
   next_.disarm();
-  if (stream_) {
-    stream_->close();
-    loop_.retire(std::move(stream_));
+  if (newest_) overdue_.push_back(std::move(newest_));
+  for (auto& entry : overdue_) {
+    entry->close();
+    loop_.retire(std::move(entry));
   }
-  response_.reset();
-}
-
-// The list stays as it was.
-void DiscoveryWatch::failed(CallFailure how, const std::string& why, std::optional<Micros> retryAfter) {
-  hangUp();
-  callAt(caller_.failed(loop_.now(), how, retryAfter), kNoWait);
-  ++observer_.counters.discoveryFailures;
-  observer_.note(Topic::Discovery, "a call to discovery failed: " + why);
-  onFailure_();
+  overdue_.clear();
 }
 
 }  // namespace heathflow::routing
--- a/src/routing/discovery_watch.h
+++ b/src/routing/discovery_watch.h
@@ -1,68 +1,70 @@
-// Asks discovery for the list of members and keeps a watch on it, once the module wants one.
+// Asks the list service for the list of members and keeps a watch on it, once the module wants one.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
-#include "protocol/http_response.h"
 #include "protocol/member_list.h"
+#include "routing/discovery_call.h"
 #include "routing/observer.h"
 #include "startup/caller.h"
-#include "transport/stream.h"
+#include "startup/list_lease.h"
+#include "transport/event_loop.h"
 
 namespace heathflow::routing {
 
-using transport::Micros;
-
-class DiscoveryWatch final : private transport::StreamOwner {
+class DiscoveryWatch final : private DiscoveryCallOwner {
  public:
   using OnList = std::function<void(const protocol::MemberList&)>;
   using OnFailure = std::function<void()>;
+  // The list has not been confirmed for so long that a change may have been missed.
+  using OnLeaseEnd = std::function<void()>;
 
-  // 'watchFor': how long one watch waits for something new. 'caller' says when to call.
-  DiscoveryWatch(transport::EventLoop& loop, const transport::Endpoint& endpoint, Micros watchFor,
-                 startup::Caller& caller, Observer& observer, OnList onList, OnFailure onFailure);
+  // 'caller' says when to call, and how long one watch waits for something new.
+  DiscoveryWatch(transport::EventLoop& loop, const transport::Endpoint& endpoint, startup::Caller& caller,
+                 Observer& observer, OnList onList, OnFailure onFailure, OnLeaseEnd onLeaseEnd);
 
   // The list as it was known at the start; watching goes on from there.
   void startFrom(std::int64_t revision) { revision_ = revision; }
   // Asks as soon as the caller has it. While the call or the watch goes well it stays subscribed by itself,
   // and calls again by itself after a failure.
   void subscribe();
-  // Discovery is reached elsewhere from now on: the whole list is asked for there.
+  // The service is reached elsewhere from now on: the whole list is asked for there.
   void moveTo(const transport::Endpoint& endpoint);
 
  private:
-  void onOpen() override;
-  void onInput() override;
-  void onEnd(transport::StreamEnd how) override;
+  void onList(DiscoveryCall& call, const protocol::MemberList& list) override;
+  void onProblem(DiscoveryCall& call, const CallProblem& problem) override;
   void call(Micros wait);
-  void send();
-  void open();
-  void finished();
-  void failed(startup::CallFailure how, const std::string& why, std::optional<Micros> retryAfter = {});
-  void hangUp();
   void callAt(Micros at, Micros wait);
+  void unanswered();
+  void failed(const CallProblem& problem);
+  void keepOnly(DiscoveryCall& call);
+  void hangUp();
+  void leaseChanged() { leaseEnd_.arm(lease_.until()); }
 
   transport::EventLoop& loop_;
   transport::Endpoint endpoint_;
-  Micros watchFor_;
   startup::Caller& caller_;
   Observer& observer_;
   OnList onList_;
   OnFailure onFailure_;
+  OnLeaseEnd onLeaseEnd_;
   std::int64_t revision_ = -1;  // of the list we hold; below 0: none
-  std::unique_ptr<transport::Stream> stream_;
-  std::unique_ptr<protocol::HttpResponse> response_;
-  transport::Timer limit_;
+  std::unique_ptr<DiscoveryCall> newest_;
+  // Calls without an answer in time, the oldest first: a service with a long line may yet come to them.
+  std::vector<std::unique_ptr<DiscoveryCall>> overdue_;
+  startup::ListLease lease_;
+  transport::Timer leaseEnd_;
+  transport::Timer answerDue_;  // of the newest call
   transport::Timer next_;
-  std::string request_;
-  Micros calledAt_ = 0;
-  Micros nextWait_ = 0;  // of the call that the timer is for
-  bool atOnce_ = false;  // the call that is out waits for nothing
-  bool wanted_ = false;  // the module has asked for news
-  bool calling_ = false;
-  bool reused_ = false;  // the call went out on a connection that had carried one before
+  Micros nextWait_ = 0;    // of the call that the timer is for
+  bool wanted_ = false;    // the module has asked for news
+  bool calling_ = false;   // the newest call is out
+  bool watching_ = false;  // it goes on from an answer
 };
 
 }  // namespace heathflow::routing
--- a/src/routing/outcome.cpp
+++ b/src/routing/outcome.cpp
@@ -84,7 +84,8 @@
     event.ok = true;
     event.report = readReport(settings, end.answer->value.of(end.bytes), now);
   } else {
-    event.turnedAway = end.answer->kind == Kind::Full || end.answer->kind == Kind::NotNow;
+    event.unwilling = end.answer->kind == Kind::NotNow;
+    event.turnedAway = event.unwilling || end.answer->kind == Kind::Full;
   }
   return event;
 }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -47,6 +47,7 @@
   void start() { run(); }
 
   void membersChanged(MembersChanged event) { post(std::move(event)); }
+  void listExpired(ListExpired event) { post(event); }
   // 'protocol': of the members' side, by the pool's index. 'timeout': where the request tells for how long
   // the client waits; it is rewritten for each attempt. The id is set before anything else happens, for the
   // answer may come within the call.
--- a/src/startup/caller.cpp
+++ b/src/startup/caller.cpp
@@ -16,15 +16,21 @@
 // A service lets callers wait in line for a while, so that not all of its time need be spread over.
 constexpr double kInLine = 600'000;
 constexpr double kInLineShare = 0.5;
-// All calls are spread over no more than this share of the time within which each has to ask.
-constexpr double kWindowShare = 0.6;
-// The wait after a failure that is not one of load: at the least, doubled with each further one.
+// All first calls are spread over no more than this share of the term, so that one that fails can be repeated
+// within it.
+constexpr double kFirstShare = 0.4;
+// The wait after a failure: at the least, doubled with each further one, and at the most, which leaves time
+// for a second failure and an answer within the term: shares of it.
 constexpr Micros kRetryLeast = 250'000;
-// Up to this, or the time that the service needs for all, where a call broke.
-constexpr Micros kBrokenMost = 1'000'000;
-// And where the service is not there: it will be met by all at once when it is back.
-constexpr Micros kAwayMost = 2'000'000;
+constexpr double kRetryMostShare = 0.25;
 constexpr int kDoublingsMost = 8;
+// Watches are renewed so seldom that all drivers together take no more than this share of the service's time.
+constexpr double kRenewalShare = 0.25;
+// Within these bounds: a share of the time for which a driver may go without asking, and that time itself.
+constexpr Micros kWatchesPerAskWithin = 4;
+constexpr Micros kWatchLeast = 1'000'000;
+// PROTOCOL, Discovery: a watch waits at most 60 s.
+constexpr Micros kWatchMost = 60'000'000;
 // PROTOCOL counts what a new place has to tell as told soon after it was named.
 constexpr Micros kMovedMost = 1'000'000;
 
@@ -42,33 +48,42 @@
   return static_cast<Micros>(placeOf(settings_.name) * static_cast<double>(windowOf(supposed_)));
 }
 
-// How long the service takes for one call of each driver, within what the contract leaves.
+// How long the service takes for one call of each driver.
+double Caller::neededBy(double cost) const { return cost * std::max(1U, settings_.drivers); }
+
+// Over how long all drivers spread their calls, so that the service's line stays short, within what the term
+// leaves.
 Micros Caller::windowOf(double cost) const {
-  const double needed = cost * std::max(1U, settings_.drivers);
+  const double needed = neededBy(cost);
   const double all = std::max(kInLineShare * needed, needed - kInLine);
-  return static_cast<Micros>(std::min(all, kWindowShare * static_cast<double>(settings_.askWithin)));
+  return static_cast<Micros>(std::min(all, kFirstShare * static_cast<double>(term())));
+}
+
+// Within which a failed call has to be made good: the term on changes, or the contract's own where it is
+// shorter.
+Micros Caller::term() const {
+  return settings_.askWithin > 0 ? std::min(settings_.askWithin, kToldWithin) : kToldWithin;
 }
 
 Micros Caller::failed(Micros now, CallFailure how, std::optional<Micros> retryAfter) {
   ++failures_;
+  const auto retryMost =
+      std::max(2 * kRetryLeast, static_cast<Micros>(kRetryMostShare * static_cast<double>(term())));
+  // A silent call has cost its time already, and a service of one's own need not be spared: no more is waited
+  // than spreads those whose watches fell silent together.
+  if (how == CallFailure::Silent || settings_.ownService)
+    return now + static_cast<Micros>(random() * static_cast<double>(kRetryLeast));
   if (how == CallFailure::TurnedAway) {
-    supposed_ *= settings_.cost ? kCostStep : kCostGrowth;
-    const Micros window = std::max(kRetryLeast, windowOf(supposed_));
-    // Those that were told the same time must not come back as one.
-    const Micros told = std::clamp<Micros>(retryAfter.value_or(0), 0, settings_.askWithin);
+    supposed_ =
+        std::min(supposed_ * (settings_.cost ? kCostStep : kCostGrowth), static_cast<double>(kToldWithin));
+    // The service's own word counts as far as the term leaves it, and those that were told the same time must
+    // not come back as one.
+    const Micros told = std::clamp<Micros>(retryAfter.value_or(0), 0, retryMost - kRetryLeast);
+    const Micros window = std::clamp(windowOf(supposed_), kRetryLeast, retryMost - told);
     const auto spread = static_cast<Micros>(random() * static_cast<double>(window));
     return now + std::max(kRetryLeast, told + spread);
   }
-  // PROTOCOL counts what a silent watch misses as told soon after it should have ended, and what a driver's
-  // own agent has as told at once: no more is waited than spreads those whose watches fell silent together.
-  if ((how == CallFailure::Silent && hasWord_ && failures_ == 1) || settings_.ownService)
-    return now + static_cast<Micros>(random() * static_cast<double>(kRetryLeast));
-  const bool broken = how == CallFailure::Broken || how == CallFailure::Unreadable;
-  // What is served by a list waits longer than what has none.
-  const auto patient = static_cast<Micros>(0.5 * static_cast<double>(settings_.askWithin));
-  const Micros most = hasWord_ ? std::max(kRetryLeast, patient)
-                               : std::max(broken ? kBrokenMost : kAwayMost, windowOf(supposed_));
-  const Micros wait = std::min(most, kRetryLeast << std::min(failures_, kDoublingsMost));
+  const Micros wait = std::min(retryMost, kRetryLeast << std::min(failures_, kDoublingsMost));
   return now + static_cast<Micros>((0.5 + 0.5 * random()) * static_cast<double>(wait));
 }
 
@@ -83,9 +98,15 @@
   fastest_ = fastest_ ? std::min(*fastest_, cost) : cost;
 }
 
-void Caller::told() {
-  hasWord_ = true;
-  failures_ = 0;
+void Caller::told() { failures_ = 0; }
+
+Micros Caller::watchFor() const {
+  const Micros least = std::clamp(settings_.askWithin / kWatchesPerAskWithin, kWatchLeast, kWatchMost);
+  const Micros most = std::clamp(settings_.askWithin, least, kWatchMost);
+  const double known = fastest_ ? static_cast<double>(*fastest_) : supposed_;
+  const auto renewals =
+      static_cast<Micros>(std::min(neededBy(known) / kRenewalShare, static_cast<double>(most)));
+  return std::clamp(renewals, least, most);
 }
 
 std::optional<Micros> Caller::cost() const {
--- a/src/startup/caller.h
+++ b/src/startup/caller.h
@@ -1,6 +1,7 @@
-// When a driver calls the list service: the first time, and again after a failure. Hundreds that start at
-// once spread themselves by their names over the time that the service needs for all of them. Decisions only,
-// under any one clock.
+// When a driver calls the list service: the first time, and again after a failure; and how long a watch
+// waits. Hundreds that start at once spread themselves by their names over the time that the service needs
+// for all of them, within what the term on changes leaves (list_lease.h). Decisions only, under any one
+// clock.
 #pragma once
 
 #include <cstdint>
@@ -9,10 +10,15 @@
 #include <string>
 
 #include "chance.h"
+#include "startup/list_lease.h"
 
 namespace heathflow::startup {
 
-using Micros = std::int64_t;  // a clock reading or a duration, microseconds
+// A call without an answer for so long counts as silent: two such calls in a row and the waits after them
+// leave the service time for a third within the term.
+inline constexpr Micros kAnswerWithin = kToldWithin / 4;
+// The answer of a call that may wait is due so long after the end of that wait.
+inline constexpr Micros kAnswerAfterWait = 700'000;
 
 // How a call ended that brought no list.
 enum class CallFailure {
@@ -37,6 +43,7 @@
  public:
   Caller(const CallerSettings& settings, Micros now);
 
+  bool ownService() const { return settings_.ownService; }
   // When the first call may go out.
   Micros first() const { return first_; }
   // A call brought no list: when the next one may go out. 'retryAfter': what the service asked for.
@@ -48,10 +55,16 @@
   // One that waited for news did; it tells nothing of the cost.
   void told();
 
+  // How long one watch waits for news: as long as the service can bear that all drivers renew theirs so
+  // often.
+  Micros watchFor() const;
+
   // What a call takes the service at the most, as far as it is known: for the next life.
   std::optional<Micros> cost() const;
 
  private:
+  double neededBy(double cost) const;
+  Micros term() const;
   Micros windowOf(double cost) const;
   Micros slot() const;
   double random() { return evenly(random_()); }
@@ -62,7 +75,6 @@
   double supposed_ = 0;            // the cost of a call as it is reckoned with
   std::optional<Micros> fastest_;  // of this life's calls
   int failures_ = 0;               // in a row
-  bool hasWord_ = false;
 };
 
 // A name's even place among all names, from 0 to 1 (xxHash).
--- /dev/null
+++ b/src/startup/list_lease.h
@@ -0,0 +1,58 @@
+// For how long a list of members may be acted on without further word from the list service. Decisions only,
+// under any one clock.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+
+namespace heathflow::startup {
+
+using Micros = std::int64_t;  // a clock reading or a duration, microseconds
+
+// STANDING: whatever else is allowed after a failed, refused or given-up call, and after a silent watch, a
+// change counts as told so long after the service had it and could be reached.
+inline constexpr Micros kToldWithin = 6'000'000;
+// STANDING: for a call that may wait it is so long after that wait is over, if that is later.
+inline constexpr Micros kToldAfterWait = 2'000'000;
+
+// STANDING: after the service has moved (SIGHUP) what the new place has counts so much later.
+inline constexpr Micros kToldAfterMove = 4'000'000;
+
+// A watch that the service turns away may have had news that waited in the service's line, for so long at the
+// most.
+inline constexpr Micros kInLineAtMost = kToldWithin / 2;
+
+// A lease on the list: until it ends, each change counts as told no earlier than the list service tells it
+// over a call that works. Past its end a change may have been missed and count as told.
+class ListLease {
+ public:
+  // Of a process that starts with a list of an earlier life. 'pushed': what the service has counts at once;
+  // else the old list counts until a first call has failed.
+  ListLease(Micros now, bool pushed) : until_(pushed ? now : now + kToldWithin) {}
+
+  // The service has answered: the list is true now.
+  void confirmed(Micros now) {
+    confirmedInThisLife_ = true;
+    assured_ = until_ = now + kToldWithin;
+  }
+  // A watch goes on from an answer, and waits for so long.
+  void watching(Micros now, Micros wait) { until_ = std::max(until_, now + wait + kToldAfterWait); }
+  // A watch has ended with a word from the service or with its connection: its wait is over. Until now it
+  // would have told, but for what waited in the service's line.
+  void watchEnded(Micros now) { until_ = std::max(assured_, now + kToldWithin - kInLineAtMost); }
+  // A call has brought nothing.
+  void callFailed(Micros now) {
+    if (!confirmedInThisLife_) until_ = std::min(until_, now);
+  }
+  // The service is elsewhere from now on.
+  void moved(Micros now) { until_ = std::min(until_, now + kToldAfterMove); }
+
+  Micros until() const { return until_; }
+
+ private:
+  bool confirmedInThisLife_ = false;
+  Micros assured_ = 0;  // by the last answer alone
+  Micros until_;
+};
+
+}  // namespace heathflow::startup
--- a/src/state.h
+++ b/src/state.h
@@ -56,6 +56,8 @@
   std::uint64_t namedIn = 0;  // the newest list that did
   bool probing = false;
   Micros probedAt = kNever;
+  Micros unwillingAt = kNever;  // when it last turned a probe away for wanting nothing new
+  Micros stayedAt = kNever;     // when a probe that it answered was sent: it did not drain then
   Micros lagAt = kNever;
   Micros lag = 0;              // how far behind it was last told to be, the age of the telling included
   bool refused = false;        // it turned a connection away, and a probe is to tell whether it lives
--- /dev/null
+++ b/tests/announced_drain_test.cpp
@@ -0,0 +1,283 @@
+// Members that begin to drain while the list service refuses, is silent, or answers late: no request goes to
+// one once its drain counts as told.
+#include <gtest/gtest.h>
+
+#include <string>
+#include <utility>
+
+#include "standins/gateway_rig.h"
+
+namespace heathflow::test {
+namespace {
+
+constexpr transport::Micros kSecond = 1'000'000;
+
+// Time passes by hand.
+GatewayOptions byHand() {
+  GatewayOptions out;
+  out.byHand = true;
+  return out;
+}
+
+// One that drains: it turns probes away, and serves what it is sent.
+void drain(MemberStandIn& member) {
+  member.probe = [&member](Line& line, const std::string&) { line.say(member.error("57P03")); };
+}
+
+bool pass(GatewayRig& rig, transport::Micros time) {
+  const transport::Micros by = rig.loop.now() + time;
+  return rig.until([&] { return rig.loop.now() >= by; });
+}
+
+// The watch ends with the service's refusal, and from then on it refuses all.
+void refuseAll(GatewayRig& rig) {
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.waiting != nullptr; }));
+  rig.discovery.fails = true;
+  std::exchange(rig.discovery.waiting, nullptr)->say(DiscoveryStandIn::response("", 503));
+  ASSERT_TRUE(rig.until([&] { return rig.counters().discoveryFailures > 0; }));
+}
+
+class DrainRule : public testing::TestWithParam<Speaks> {
+ protected:
+  static GatewayOptions speaking() {
+    GatewayOptions out = byHand();
+    out.speaks = GetParam();
+    return out;
+  }
+};
+INSTANTIATE_TEST_SUITE_P(Protocols, DrainRule, testing::Values(Speaks::Postgres, Speaks::Bolt),
+                         [](const auto& spoken) {
+                           return spoken.param == Speaks::Postgres ? "Postgres" : "Bolt";
+                         });
+
+// Both replicas drain while every call is refused: what comes 6 s later asks members first, and goes to the
+// one that says that it stays.
+TEST_P(DrainRule, WhatCanNotBeHeardOfBindsSixSecondsLaterByTheMembersOwnWord) {
+  GatewayRig rig(speaking());
+  refuseAll(rig);
+  drain(*rig.members[1]);
+  drain(*rig.members[2]);
+  ASSERT_TRUE(pass(rig, 6 * kSecond));
+  ClientStandIn client(rig.loop, rig.endpoint);
+  for (int i = 0; i < 5; ++i) {
+    client.ask(request("any", std::to_string(i)));
+    ASSERT_TRUE(client.answered(static_cast<std::size_t>(i) + 1));
+  }
+  EXPECT_TRUE(rig.members[1]->statements.empty());
+  EXPECT_TRUE(rig.members[2]->statements.empty());
+  EXPECT_EQ(rig.members[0]->statements.size(), 5U);
+}
+
+// Members that stay are asked once in 6 s each at the most, however many requests come.
+TEST_P(DrainRule, MembersThatStayServeOnAndAreAskedNoMoreThanOnceInSixSeconds) {
+  GatewayRig rig(speaking());
+  refuseAll(rig);
+  ASSERT_TRUE(pass(rig, 6 * kSecond));
+  std::size_t before = 0;
+  for (const auto& member : rig.members) before += member->probes;
+  ClientStandIn client(rig.loop, rig.endpoint);
+  for (int i = 0; i < 20; ++i) {
+    client.ask(request("any", std::to_string(i)));
+    ASSERT_TRUE(client.answered(static_cast<std::size_t>(i) + 1));
+  }
+  std::size_t probes = 0;
+  for (const auto& member : rig.members) probes += member->probes;
+  EXPECT_EQ(rig.statements().size(), 20U);
+  EXPECT_GE(probes, before + 1);
+  EXPECT_LE(probes, before + rig.members.size());
+}
+
+// One that answered a probe and begins to drain then: 6 s later its word is too old.
+TEST_P(DrainRule, AMembersOwnWordBindsNoLongerThanTheListsWould) {
+  GatewayRig rig(speaking(), 2);
+  refuseAll(rig);
+  ASSERT_TRUE(pass(rig, 6 * kSecond));
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask(request("any", "1"));
+  ASSERT_TRUE(client.answered());
+  EXPECT_EQ(rig.members[1]->statements.size(), 1U);
+  drain(*rig.members[1]);
+  ASSERT_TRUE(pass(rig, 6 * kSecond));
+  client.ask(request("any", "2"));
+  ASSERT_TRUE(client.answered(2));
+  EXPECT_EQ(rig.members[1]->statements.size(), 1U);
+  EXPECT_EQ(rig.members[0]->statements.size(), 1U);
+}
+
+// Chosen while the list counted, and written when it no longer does: the connection comes up too late.
+TEST_P(DrainRule, WhatWaitedForItsConnectionIsAskedForOnceMore) {
+  GatewayRig rig(speaking(), 2);
+  refuseAll(rig);
+  const transport::Micros refusedAt = rig.loop.now();
+  rig.members[1]->welcomes = false;
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask(request("any", "1"));
+  ASSERT_TRUE(rig.until([&] { return rig.members[1]->openLines() == 1; }));
+  drain(*rig.members[1]);
+  ASSERT_TRUE(rig.until([&] { return rig.loop.now() >= refusedAt + 7 * kSecond; }));
+  rig.members[1]->welcomeNow();
+  ASSERT_TRUE(client.answered());
+  EXPECT_TRUE(rig.members[1]->statements.empty());
+  EXPECT_EQ(rig.members[0]->statements.size(), 1U);
+}
+
+// With the next list the members' own word is not asked for any more.
+TEST_P(DrainRule, TheNextListCountsAgain) {
+  GatewayRig rig(speaking());
+  refuseAll(rig);
+  ASSERT_TRUE(pass(rig, 6 * kSecond));
+  rig.discovery.fails = false;
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.waiting != nullptr; }));
+  std::size_t before = 0;
+  for (const auto& member : rig.members) before += member->probes;
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask(request("any", "1"));
+  ASSERT_TRUE(client.answered());
+  std::size_t probes = 0;
+  for (const auto& member : rig.members) probes += member->probes;
+  EXPECT_EQ(probes, before);
+  EXPECT_TRUE(rig.members[0]->statements.empty());
+}
+
+// Replicas began to drain before this process did, and its first call fails: the list that it was given is no
+// reason any more to send to them.
+TEST(FirstCalls, ThatFailLeaveNothingOfTheListGivenAtTheStart) {
+  GatewayRig rig(byHand());
+  rig.discovery.fails = true;
+  drain(*rig.members[1]);
+  drain(*rig.members[2]);
+  ASSERT_TRUE(rig.until([&] { return rig.counters().discoveryFailures == 1; }));
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask(request("any", "1"));
+  ASSERT_TRUE(client.answered());
+  EXPECT_EQ(rig.members[0]->statements.size(), 1U);
+  EXPECT_TRUE(rig.members[1]->statements.empty());
+  EXPECT_TRUE(rig.members[2]->statements.empty());
+}
+
+// Where lists are pushed what the agent has counts from the first moment.
+TEST(FirstCalls, OfAnAgentThatIsSilentLeaveNothingOfTheListGivenAtTheStart) {
+  GatewayOptions options = byHand();
+  options.discovery = "push";
+  GatewayRig rig(options, 2);
+  rig.discovery.silent = true;
+  drain(*rig.members[1]);
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask(request("any", "1"));
+  ASSERT_TRUE(client.answered());
+  EXPECT_EQ(rig.members[0]->statements.size(), 1U);
+  EXPECT_TRUE(rig.members[1]->statements.empty());
+}
+
+// A refused watch is over: its wait of 10 s is none.
+TEST(RefusedWatches, EndTheirWait) {
+  GatewayOptions options = byHand();
+  options.drivers = 300;
+  GatewayRig rig(options, 2);
+  // The service is slow, so that watches are long.
+  rig.discovery.silent = true;
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.calls.size() == 1; }));
+  ASSERT_TRUE(pass(rig, kSecond));
+  rig.discovery.silent = false;
+  rig.discovery.lines.front()->say(DiscoveryStandIn::response(rig.discovery.document(false, "[]")));
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.waiting != nullptr; }));
+  ASSERT_NE(rig.discovery.calls.back().find("timeout_ms=10000 "), std::string::npos);
+  refuseAll(rig);
+  drain(*rig.members[1]);
+  ASSERT_TRUE(pass(rig, 6 * kSecond));
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask(request("any", "1"));
+  ASSERT_TRUE(client.answered());
+  EXPECT_TRUE(rig.members[1]->statements.empty());
+}
+
+// ---- Calls beside one another ----
+
+// The service's line is long: the first call's answer comes after the second has gone out, and counts.
+TEST(OverdueCalls, AreAnsweredAfterAll) {
+  GatewayRig rig(byHand(), 2);
+  rig.discovery.silent = true;
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.calls.size() == 2; }));
+  ASSERT_EQ(rig.discovery.lines.size(), 2U);
+  EXPECT_LE(rig.discovery.calledAt[1], rig.discovery.calledAt[0] + 2 * kSecond);
+  EXPECT_FALSE(rig.discovery.lines.front()->ended);
+  const std::uint64_t before = rig.counters().listsTaken;
+  rig.discovery.silent = false;
+  rig.discovery.lines.front()->say(
+      DiscoveryStandIn::response(rig.discovery.document(false, "[" + rig.entryOf(1, "Terminating") + "]")));
+  ASSERT_TRUE(rig.until([&] { return rig.counters().listsTaken > before; }));
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.lines.back()->ended; })) << "the later call is not wanted";
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.waiting != nullptr; }));
+  EXPECT_EQ(rig.discovery.waiting, rig.discovery.lines.front().get()) << "the connection is kept";
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask(request("any", "1"));
+  ASSERT_TRUE(client.answered());
+  EXPECT_TRUE(rig.members[1]->statements.empty());
+}
+
+// A service that never answers holds three connections of a driver at the most, and one call after the other
+// goes out within the time that leaves room for an answer.
+TEST(OverdueCalls, AreThreeAtTheMostWithTheNewest) {
+  GatewayRig rig(byHand(), 2);
+  rig.discovery.silent = true;
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.calls.size() >= 8; }));
+  EXPECT_LE(rig.discovery.openLines(), 3U);
+  for (std::size_t i = 1; i < rig.discovery.calledAt.size(); ++i)
+    EXPECT_LE(rig.discovery.calledAt[i] - rig.discovery.calledAt[i - 1], 1750'000);
+  const std::uint64_t before = rig.counters().listsTaken;
+  rig.discovery.silent = false;
+  ASSERT_TRUE(rig.until([&] { return rig.counters().listsTaken > before; }));
+}
+
+// The newest fails, and one before it is answered while the next has yet to go out.
+TEST(OverdueCalls, AreAnsweredWhileTheNextWaitsForItsTime) {
+  GatewayRig rig(byHand(), 2);
+  rig.discovery.silent = true;
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.calls.size() == 2; }));
+  rig.discovery.lines.back()->say(DiscoveryStandIn::response("", 503));
+  ASSERT_TRUE(rig.until([&] { return rig.counters().discoveryFailures == 2; }));
+  rig.discovery.silent = false;
+  const std::uint64_t before = rig.counters().listsTaken;
+  rig.discovery.lines.front()->say(DiscoveryStandIn::response(rig.discovery.document(false, "[]")));
+  ASSERT_TRUE(rig.until([&] { return rig.counters().listsTaken > before; }));
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.waiting != nullptr; }));
+  EXPECT_EQ(rig.discovery.calls.size(), 3U) << "the call that was due is the watch";
+}
+
+// An overdue call is turned away: that was counted as it became overdue, and moves nothing.
+TEST(OverdueCalls, ThatFailLaterAreForgotten) {
+  GatewayRig rig(byHand(), 2);
+  rig.discovery.silent = true;
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.calls.size() == 2; }));
+  Line* first = rig.discovery.lines.front().get();
+  first->say(DiscoveryStandIn::response("", 503));
+  ASSERT_TRUE(rig.until([&] { return first->ended; }));
+  EXPECT_EQ(rig.counters().discoveryFailures, 1U);
+  EXPECT_EQ(rig.discovery.calls.size(), 2U);
+  rig.discovery.silent = false;
+  const std::uint64_t before = rig.counters().listsTaken;
+  rig.discovery.lines.back()->say(DiscoveryStandIn::response(rig.discovery.document(false, "[]")));
+  ASSERT_TRUE(rig.until([&] { return rig.counters().listsTaken > before; }));
+}
+
+// ---- Probes of one that drains ----
+
+// A primary that drains turns probes away; reads that need its word do not ask it again and again.
+TEST(ProbesTurnedAway, AreNotRepeatedAtThePaceOfTheirAnswers) {
+  GatewayOptions options = byHand();
+  options.viewConsistency = "fresh";
+  GatewayRig rig(options, 2);
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.waiting != nullptr; }));
+  drain(*rig.members[0]);
+  ASSERT_TRUE(pass(rig, 10 * kSecond));
+  const std::size_t before = rig.members[0]->probes;
+  const transport::Micros from = rig.loop.now();
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask(request("view", "1", "", 4'000));
+  ASSERT_TRUE(client.answered());
+  const auto seconds = static_cast<std::size_t>((rig.loop.now() - from) / kSecond);
+  EXPECT_LE(rig.members[0]->probes, before + 4 * (seconds + 1));
+}
+
+}  // namespace
+}  // namespace heathflow::test
