Count a pipelined request's time from its own last byte, not from the last bytes read

Cause: ClientSession::ask took readAt_, set by every onInput, for the time at which the request was whole.

What had no room in the input counts from when that was full. The new tests were all seen to fail with readAt_ in their place (8 of 8).

--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -63,7 +63,7 @@
 std::string_view ClientSession::wire() const { return stream_.input().view().substr(0, held_); }
 
 void ClientSession::onInput() {
-  readAt_ = loop_.now();
+  noteArrivals();
   process();
   // Guards memory: a message for which there is none is turned away, so that others get theirs.
   if (!stream_.stalled() || partSince_ == 0 || busy_ || over_ || lingering_) return;
@@ -72,6 +72,24 @@
   endWith(Reason::NoMemory, "no memory is left");
 }
 
+// Notes since when what was read just now is here. What had no room in the input may have stood in the socket
+// ever since that filled up, and counts from then: a request must not be held for longer than its client
+// waits.
+void ClientSession::noteArrivals() {
+  arrivals_.add(stream_.input().size() - arrivals_.waiting(), fullSince_ != 0 ? fullSince_ : loop_.now());
+  if (!stream_.stalled()) {
+    fullSince_ = 0;
+  } else if (fullSince_ == 0) {
+    fullSince_ = loop_.now();
+  }
+}
+
+// The first bytes of the input have been dealt with.
+void ClientSession::dropInput(std::size_t size) {
+  stream_.input().consume(size);
+  arrivals_.drop(size);
+}
+
 void ClientSession::onDrained() {
   readTimeout_.disarm();
   if (busy_ && bound_) router_.resume(request_);
@@ -155,14 +173,14 @@
       partSince_ = 0;
       router_.more(request_, stream_.input().view().substr(held_, step.consumed));
       held_ += step.consumed;
-      if (bound_) stream_.input().consume(std::exchange(held_, 0));
+      if (bound_) dropInput(std::exchange(held_, 0));
       return true;
     case Kind::Interrupt:
       takeBack();
       return true;
     case Kind::Handled:
       partSince_ = 0;
-      stream_.input().consume(step.consumed);
+      dropInput(step.consumed);
       return true;
   }
   return false;
@@ -223,8 +241,9 @@
   request.group = *asked->group;
   request.classIndex = known->second;
   request.repeat = asked->repeat;
+  // The client's time for it began with its last byte, however long it has waited behind others since.
   request.deadline =
-      readAt_ +
+      arrivals_.lastOf(held_) +
       (asked->timeoutMs ? std::min(*asked->timeoutMs, kLongestTimeoutMs) * kMicrosPerMilli : entry.deadline);
   if (entry.consistency == Consistency::Session || entry.consistency == Consistency::Write) {
     // 0 stands for no session.
@@ -267,7 +286,7 @@
 bool ClientSession::passOn(const protocol::Answer& answer, std::string_view bytes) {
   if (!fits(answer)) return false;
   side_->pass(answer, bytes, loop_.now() / kMicrosPerMilli, stream_.output());
-  if (!bound_) stream_.input().consume(std::exchange(held_, 0));
+  if (!bound_) dropInput(std::exchange(held_, 0));
   bound_ = true;
   stream_.flush();
   // What the client asks behind it may be a further part.
@@ -300,7 +319,7 @@
 
 // No request is open any more.
 void ClientSession::rest() {
-  stream_.input().consume(std::exchange(held_, 0));
+  dropInput(std::exchange(held_, 0));
   shared_.open.erase(id_);
   id_.clear();
   busy_ = bound_ = false;
--- a/src/routing/client_session.h
+++ b/src/routing/client_session.h
@@ -13,6 +13,7 @@
 
 #include "protocol/wire.h"
 #include "routing/router.h"
+#include "transport/arrival_times.h"
 #include "transport/stream.h"
 
 namespace heathflow::routing {
@@ -82,6 +83,8 @@
   void onInput() override;
   void onDrained() override;
   void onEnd(transport::StreamEnd how) override;
+  void noteArrivals();
+  void dropInput(std::size_t size);
   void process();
   void ask();
   bool take(const protocol::ClientSide::Step& step);
@@ -112,7 +115,9 @@
   std::uint64_t number_;          // of the connection
   std::optional<GroupId> group_;  // of the request that is open, or was last
   std::unique_ptr<protocol::ClientSide> side_;
-  Micros readAt_ = 0;     // when the last bytes came
+  transport::ArrivalTimes arrivals_;  // of the bytes in the input
+  Micros fullSince_ =
+      0;  // since when the input has been too full for all that the socket holds; 0: it is not
   Micros partSince_ = 0;  // since when a part of a message stands alone in the input; 0: none does
   RequestId request_ = 0;
   std::size_t held_ = 0;  // what the open request takes at the front of the input
--- /dev/null
+++ b/tests/pipelining_test.cpp
@@ -0,0 +1,151 @@
+// Requests that are written one behind another: each has its own time, which begins with its own last byte,
+// while bytes of others come before, with and after it. The loop's clock is moved by hand.
+#include <gtest/gtest.h>
+
+#include "standins/gateway_rig.h"
+
+namespace heathflow::test {
+namespace {
+
+using transport::Micros;
+
+constexpr Micros kMillis = 1'000;
+// What a client gives a request that is to run out of time, and for how long another one stands before it.
+constexpr long kShortMs = 2'000;
+constexpr Micros kShort = kShortMs * kMillis;
+constexpr Micros kAhead = 200 * kMillis;
+// A timer may be due a moment after its time, never before.
+constexpr Micros kNextTurn = kMillis;
+
+// One client, whose requests the one member leaves open until the test has them answered.
+class PipeliningRule : public testing::TestWithParam<Speaks> {
+ protected:
+  PipeliningRule() : rig_(options(), 1), client_(rig_.loop, rig_.endpoint) {
+    rig_.answerAll([this](Line& line, const std::string&) { open_ = &line; });
+  }
+  static GatewayOptions options() {
+    GatewayOptions out;
+    out.speaks = GetParam();
+    out.byHand = true;
+    return out;
+  }
+  std::string asking(const std::string& id, long timeoutMs) const {
+    return askingOf(GetParam(), request("save", id, "", timeoutMs));
+  }
+  // Waits until the member has been asked for so many requests.
+  bool asked(std::size_t count) {
+    return rig_.until([&] { return rig_.members[0]->statements.size() == count; });
+  }
+  void answer(const std::string& value) { open_->say(rig_.members[0]->value(value)); }
+  // Lets time go by up to there.
+  bool passes(Micros at) {
+    return rig_.until([&] { return rig_.loop.now() >= at; });
+  }
+  // Sends what need not be answered, and waits until it has been read.
+  bool sendAndRead(std::string_view bytes) {
+    if (!client_.send(bytes)) return false;
+    for (int i = 0; i < 5; ++i) rig_.loop.turn(0);
+    return true;
+  }
+  std::uint64_t answered() const {
+    const routing::Counters& counters = rig_.counters();
+    return counters.requestsServed + counters.requestsRefused + counters.requestsFailed;
+  }
+  bool everAsked(const std::string& id) const {
+    for (const std::string& statement : rig_.members[0]->statements) {
+      if (statement.find("id=" + id + ",") != std::string::npos) return true;
+    }
+    return false;
+  }
+
+  GatewayRig rig_;
+  PlainSocket client_;
+  Line* open_ = nullptr;
+};
+
+// The second request was whole at once; a part of a third comes later, while the first is still out. The
+// second one's time is not put off by that.
+TEST_P(PipeliningRule, BytesThatComeLaterDoNotPutOffARequestsTime) {
+  const std::string third = asking("3", 50'000);
+  ASSERT_TRUE(client_.send(openingOf(GetParam()) + asking("1", 50'000) + asking("2", kShortMs)));
+  ASSERT_TRUE(asked(1));
+  const Micros whole = rig_.loop.now();
+  ASSERT_TRUE(passes(whole + kAhead));
+  ASSERT_TRUE(sendAndRead(third.substr(0, 20)));
+  answer("the first");
+  ASSERT_TRUE(asked(2));
+  ASSERT_TRUE(rig_.until([&] { return answered() == 2; }));
+  EXPECT_GE(rig_.loop.now(), whole + kShort);
+  EXPECT_LE(rig_.loop.now(), whole + kShort + kNextTurn);
+}
+
+// The second request's time is over by the time that the first has its answer: it is answered at once and not
+// sent on, whatever has come behind it since.
+TEST_P(PipeliningRule, ARequestWhoseTimeEndsBehindAnotherIsAnsweredAtOnceAndNotSent) {
+  ASSERT_TRUE(client_.send(openingOf(GetParam()) + askingOf(GetParam(), request("any", "1")) +
+                           asking("2", kShortMs)));
+  ASSERT_TRUE(asked(1));
+  const Micros whole = rig_.loop.now();
+  ASSERT_TRUE(passes(whole + kShort - kAhead));
+  ASSERT_TRUE(sendAndRead(asking("3", 50'000)));
+  ASSERT_TRUE(passes(whole + kShort));
+  const Micros due = rig_.loop.now();
+  answer("the first");
+  ASSERT_TRUE(rig_.until([&] { return answered() == 2; }));
+  EXPECT_LE(rig_.loop.now(), due + kNextTurn);
+  EXPECT_FALSE(everAsked("2"));
+  // In Bolt a failure has what stands behind it ignored.
+  if (GetParam() == Speaks::Postgres) {
+    EXPECT_TRUE(rig_.until([&] { return everAsked("3"); }));
+  }
+}
+
+// The second request's rest comes later than its first half, together with the beginning of a third. Its time
+// begins with its own last byte (in Bolt that of its RUN) and ends neither before nor after.
+TEST_P(PipeliningRule, ARequestInPiecesHasItsTimeFromItsLastByteOn) {
+  const std::string second = asking("2", kShortMs);
+  const std::string third = asking("3", 50'000);
+  const std::size_t half = second.size() / 2;
+  ASSERT_TRUE(client_.send(openingOf(GetParam()) + asking("1", 50'000) + second.substr(0, half)));
+  ASSERT_TRUE(asked(1));
+  ASSERT_TRUE(passes(rig_.loop.now() + kAhead));
+  ASSERT_TRUE(sendAndRead(second.substr(half) + third.substr(0, 20)));
+  const Micros whole = rig_.loop.now();
+  ASSERT_TRUE(passes(whole + kAhead));
+  ASSERT_TRUE(sendAndRead(third.substr(20, 20)));
+  answer("the first");
+  ASSERT_TRUE(asked(2));
+  ASSERT_TRUE(rig_.until([&] { return answered() == 2; }));
+  EXPECT_GE(rig_.loop.now(), whole + kShort);
+  EXPECT_LE(rig_.loop.now(), whole + kShort + kNextTurn);
+}
+
+// The third request has no room in the input (136 KiB and a little) until the first has its answer. It has
+// stood in the socket all the while: its time is not counted from when it is read at last.
+TEST_P(PipeliningRule, ARequestThatWaitsForRoomHasItsTimeFromWhenTheInputWasFull) {
+  const auto large = [this](const std::string& id, long timeoutMs) {
+    const std::string blob(80'000, '0');
+    return askingOf(GetParam(), "INSERT INTO rows (handle, blob) VALUES ('key', '\\x" + blob +
+                                    "') RETURNING blob /* id=" + id +
+                                    ",c=save,d=" + std::to_string(timeoutMs) + ",cluster=0 */");
+  };
+  ASSERT_TRUE(client_.send(openingOf(GetParam()) + large("1", 50'000) + large("2", 50'000)));
+  ASSERT_TRUE(asked(1));
+  ASSERT_TRUE(sendAndRead(asking("3", kShortMs)));
+  const Micros whole = rig_.loop.now();
+  ASSERT_TRUE(passes(whole + kAhead));
+  answer("the first");
+  ASSERT_TRUE(asked(2));
+  answer("the second");
+  ASSERT_TRUE(asked(3));
+  ASSERT_TRUE(rig_.until([&] { return answered() == 3; }));
+  EXPECT_LE(rig_.loop.now(), whole + kShort + kNextTurn);
+}
+
+INSTANTIATE_TEST_SUITE_P(Pipelining, PipeliningRule, testing::Values(Speaks::Postgres, Speaks::Bolt),
+                         [](const testing::TestParamInfo<Speaks>& spoken) {
+                           return spoken.param == Speaks::Postgres ? "Postgres" : "Bolt";
+                         });
+
+}  // namespace
+}  // namespace heathflow::test
