Part the crossing tests by subject, with what they share in one header

Need: tests/crossing_test.cpp (887 lines) held seven subjects. Change: one file each (closing connections, shutdown, list watches, dials, connections to members, clients that leave, floods), their fixture and settings in tests/crossing.h; the pipelining tests join the same program.

--- a/tests/pipelining_test.cpp
+++ b/tests/pipelining_test.cpp
@@ -2,7 +2,10 @@
 // while bytes of others come before, with and after it. The loop's clock is moved by hand.
 #include <gtest/gtest.h>
 
-#include "standins/gateway_rig.h"
+#include <string>
+#include <string_view>
+
+#include "crossing.h"
 
 namespace heathflow::test {
 namespace {
@@ -142,10 +145,7 @@
   EXPECT_LE(rig_.loop.now(), whole + kShort + kNextTurn);
 }
 
-INSTANTIATE_TEST_SUITE_P(Pipelining, PipeliningRule, testing::Values(Speaks::Postgres, Speaks::Bolt),
-                         [](const testing::TestParamInfo<Speaks>& spoken) {
-                           return spoken.param == Speaks::Postgres ? "Postgres" : "Bolt";
-                         });
+INSTANTIATE_TEST_SUITE_P(Pipelining, PipeliningRule, kBoth, nameOf);
 
 }  // namespace
 }  // namespace heathflow::test
