Name client sessions and PostgreSQL's server side in the field's terms; request checks apart

Need: both files spoke house style ("told off", "last word", takeBack, turnAway, leave) and ClientSession::ask was sixty lines. Change: cancelRequest, rejectConnection, drain, closeWithError, fatalError, beginRequest, handleStep, finishRequest, rejectMessage; problemWith() and requestOf() take ask's checks and translation over in the same order; doc comments with units and sources. Elsewhere only the renamed calls (client_listener.cpp, wire.h, pg_protocol, bolt_server). Counters and log texts stay; the one visible difference is that the note on a request without a usual id names its family.

--- a/src/protocol/bolt_server.cpp
+++ b/src/protocol/bolt_server.cpp
@@ -461,7 +461,7 @@
   endWith(bolt::status::kInvalid, message, 0, out);
 }
 
-void BoltServer::lastWord(Reason reason, std::string_view message, Buffer& out) {
+void BoltServer::fatalError(Reason reason, std::string_view message, Buffer& out) {
   if (state_ == State::Handshake || reason == Reason::ShuttingDown) return;
   const bool later = reason == Reason::TooMany || reason == Reason::NoMemory;
   bolt::writeFailure(out, later ? bolt::status::kNoThreads : bolt::status::kInvalid, message, 0);
--- a/src/protocol/bolt_server.h
+++ b/src/protocol/bolt_server.h
@@ -36,7 +36,7 @@
   void refused(std::int64_t retryAfterMs, Buffer& out) override;
   void failed(Buffer& out) override;
   void rejected(std::string_view message, Buffer& out) override;
-  void lastWord(Reason reason, std::string_view message, Buffer& out) override;
+  void fatalError(Reason reason, std::string_view message, Buffer& out) override;
   bool introduced() const override { return state_ >= State::Ready; }
 
   // So many messages of a request may be without their replies at once.
--- a/src/protocol/pg_protocol.cpp
+++ b/src/protocol/pg_protocol.cpp
@@ -101,7 +101,7 @@
   error(sqlstate::kInvalidParameter, message, out);
 }
 
-void PgClientSide::lastWord(Reason reason, std::string_view message, Buffer& out) {
+void PgClientSide::fatalError(Reason reason, std::string_view message, Buffer& out) {
   if (reason == Reason::ShuttingDown && !server_.started()) return;
   writeError(out, true, codeFor(reason), message);
 }
--- a/src/protocol/pg_protocol.h
+++ b/src/protocol/pg_protocol.h
@@ -18,7 +18,7 @@
   void refused(std::int64_t retryAfterMs, Buffer& out) override;
   void failed(Buffer& out) override;
   void rejected(std::string_view message, Buffer& out) override;
-  void lastWord(Reason reason, std::string_view message, Buffer& out) override;
+  void fatalError(Reason reason, std::string_view message, Buffer& out) override;
 
  private:
   void error(std::string_view code, std::string_view message, Buffer& out, std::string_view detail = {});
--- a/src/protocol/pg_server.cpp
+++ b/src/protocol/pg_server.cpp
@@ -56,7 +56,7 @@
     return fatal(out, sqlstate::kFeatureNotSupported, "this protocol version is not supported");
   }
   if ((code & 0xFFFF) != 0) {
-    // A newer minor version: told that 3.0 is spoken, and that none of its options were taken.
+    // A newer minor version: NegotiateProtocolVersion names 3.0 and no unrecognized options.
     writeMessage(out, 'v', std::string_view("\0\3\0\0\0\0\0\0", 8));
   }
   started_ = true;
@@ -71,8 +71,8 @@
   return step;
 }
 
-// Guards the connection of a client that speaks more of the protocol than is served here.
-Step PgServer::rejected(Buffer& out, std::size_t consumed) {
+// A message of the protocol that is not served here: an error, and the connection goes on.
+Step PgServer::rejectMessage(Buffer& out, std::size_t consumed) {
   writeError(out, false, sqlstate::kFeatureNotSupported, "only simple queries are served");
   Step step;
   step.kind = Step::Kind::Handled;
@@ -121,14 +121,14 @@
     case 'D':
     case 'E':
       skipping_ = true;
-      return rejected(out, cut.size);
+      return rejectMessage(out, cut.size);
     case 'F': {
-      Step reply = rejected(out, cut.size);
+      Step reply = rejectMessage(out, cut.size);
       writeReady(out);
       return reply;
     }
-    case 'H':  // Flush: nothing is held back
-    case 'd':  // what is left of a copy that was never begun
+    case 'H':  // Flush: output is never delayed
+    case 'd':  // the rest of a COPY that never began
     case 'c':
     case 'f':
       return step;
--- a/src/protocol/pg_server.h
+++ b/src/protocol/pg_server.h
@@ -1,4 +1,6 @@
-// The server side of the protocol, as clients see it: a state machine that is fed bytes.
+// The server's side of PostgreSQL's wire protocol, version 3.0: simple queries only, no TLS, no password. A
+// state machine that is fed bytes and does no input or output of its own. Source: PostgreSQL's documentation,
+// "Message Flow" and "Message Formats".
 #pragma once
 
 #include <cstddef>
@@ -9,36 +11,40 @@
 
 namespace heathflow::protocol {
 
-inline constexpr std::size_t kStartupLimit = 10'000;  // bytes
+// The longest startup packet that is accepted, bytes.
+inline constexpr std::size_t kStartupLimit = 10'000;
 
+// One client's connection.
 class PgServer {
  public:
+  // What step() found at the front of the input.
   struct Step {
     enum class Kind {
-      NeedMore,  // nothing whole stands at the front
-      Handled,   // answered, or skipped, by the machine itself
-      Query,     // a statement to be answered; further steps wait until it is
-      Left,      // the client ends the connection
-      Fatal,     // the stream can't be followed; what is to be said has been written
+      NeedMore,  // no whole message
+      Handled,   // a message that the machine has answered or skipped
+      Query,     // a statement; the caller answers it before the next step
+      Left,      // Terminate, or a CancelRequest: the connection ends
+      Fatal,     // a message that can't be parsed; the error has been written, and the connection ends
     } kind = Kind::NeedMore;
-    std::size_t consumed = 0;
-    Slice statement;         // within the consumed bytes
-    bool violation = false;  // against the protocol
+    std::size_t consumed = 0;  // the message's bytes
+    Slice statement;           // a query's text, within the consumed bytes
+    bool violation = false;    // the client has violated the protocol
   };
 
-  // Looks at the front of what has come in and writes what the protocol itself answers. The caller drops the
-  // consumed bytes: at once, or for a query when it is answered.
+  // Parses the message at the front of the input and writes what the protocol itself answers to 'out'. The
+  // caller drops the consumed bytes: at once, or for a query once it is answered.
   Step step(std::string_view bytes, Buffer& out);
 
+  // Whether the startup packet has been accepted.
   bool started() const { return started_; }
 
  private:
   Step startup(std::string_view bytes, Buffer& out);
   Step fatal(Buffer& out, std::string_view code, std::string_view message);
-  Step rejected(Buffer& out, std::size_t consumed);
+  Step rejectMessage(Buffer& out, std::size_t consumed);
 
   bool started_ = false;
-  bool skipping_ = false;  // a part of the extended protocol was turned down: all up to Sync goes by
+  bool skipping_ = false;  // a message of the extended protocol was rejected: all up to Sync is skipped
 };
 
 }  // namespace heathflow::protocol
--- a/src/protocol/wire.h
+++ b/src/protocol/wire.h
@@ -98,8 +98,8 @@
   virtual void refused(std::int64_t retryAfterMs, Buffer& out) = 0;
   virtual void failed(Buffer& out) = 0;
   virtual void rejected(std::string_view message, Buffer& out) = 0;
-  // The last word of a connection; none where the protocol has none to say unasked.
-  virtual void lastWord(Reason reason, std::string_view message, Buffer& out) = 0;
+  // An error that ends the connection; nothing where the protocol has no unsolicited message for it.
+  virtual void fatalError(Reason reason, std::string_view message, Buffer& out) = 0;
   // Whether the client has made itself known by more than its start.
   virtual bool introduced() const { return false; }
 
--- a/src/routing/client_listener.cpp
+++ b/src/routing/client_listener.cpp
@@ -158,8 +158,8 @@
       std::make_unique<ClientSession>(loop_, static_cast<ClientSessionOwner&>(*this), router_, shared_,
                                       observer_, protocolIndex_, protocol_.name(), protocol_.towardsClient());
   if (!session->adopt(std::move(fd))) return;
-  if (!fits) session->turnAway();
-  if (draining_) session->leave(false);
+  if (!fits) session->rejectConnection();
+  if (draining_) session->drain(false);
   ++observer_.counters.clientsAccepted;
   budget_.clientOpened();
   ClientSession* key = session.get();
@@ -183,7 +183,7 @@
   draining_ = true;
   drainAt_ = loop_.now();
   drained_ = std::move(done);
-  for (ClientSession* session : all()) session->leave(false);
+  for (ClientSession* session : all()) session->drain(false);
   closing_.arm(loop_.now() + kStillComing);
   lastCall_.arm(loop_.now() + kLastCall);
   checkDrained();
@@ -206,7 +206,7 @@
     lastCall_.arm(loop_.now() + kLookAgain);
     auto done = std::move(drained_);
     drained_ = nullptr;
-    for (ClientSession* session : all()) session->leave(true);
+    for (ClientSession* session : all()) session->drain(true);
     drained_ = std::move(done);
   }
   if (index_.empty()) {
--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -14,13 +14,13 @@
 // One message and what may be pipelined behind it; one answer and what stands around it.
 constexpr transport::Stream::Limits kLimits = {protocol::kClientMessageLimit + 4 * 1024,
                                                protocol::kMemberAnswerLimit + 16 * 1024};
-// How long a client may take to read what it no longer waits for (its last answer, or that it was told off),
-// to see that its connection ends, and to go on with a message when its place is wanted.
+// How long a client may take to read what it no longer waits for (its last answer, or the error of a rejected
+// connection), to see that its connection ends, and to go on with a message when its place is wanted.
 constexpr Micros kReadTimeout = 1'000'000;
 // LATER, Bad clients: whoever sends nothing that can be read is owed an error or a close within 3 s of
 // connecting. The same time is given to a message that has begun.
 constexpr Micros kRequestTimeout = 2'500'000;
-// For how long a client that was told a fatal error may go on sending (6 s are counted with 60 MB).
+// For how long a client that was sent a fatal error may go on sending (6 s are counted with 60 MB).
 constexpr Micros kLingerTimeout = 2'500'000;
 // Guards the others against one that sends hundreds of messages at once: so many of them a turn.
 constexpr int kMessagesPerTurn = 16;
@@ -45,7 +45,7 @@
                      if (!stream_.output().empty()) ++observer_.counters.clientsNotReading;
                      over();
                    }),
-      requestTimeout_(loop, [this] { overdue(); }),
+      requestTimeout_(loop, [this] { onRequestTimeout(); }),
       nextTurn_(loop, [this] { process(); }),
       protocol_(protocol),
       protocolName_(name),
@@ -65,16 +65,16 @@
 void ClientSession::onInput() {
   noteArrivals();
   process();
-  // Guards memory: a message for which there is none is turned away, so that others get theirs.
+  // A message for which there is no memory ends its connection, so that others get theirs.
   if (!stream_.stalled() || partSince_ == 0 || busy_ || over_ || lingering_) return;
   ++observer_.counters.memoryRefusals;
   note(Topic::Limits, "a client's message was turned away: no memory is left for it");
-  endWith(Reason::NoMemory, "no memory is left");
+  closeWithError(Reason::NoMemory, "no memory is left");
 }
 
-// Notes since when what was read just now is here. What had no room in the input may have stood in the socket
-// ever since that filled up, and counts from then: a request must not be held for longer than its client
-// waits.
+// Records when the bytes that were just read arrived. What had no room in the input may have waited in the
+// socket ever since the input filled up, and counts from then: no request may be held for longer than its
+// client waits.
 void ClientSession::noteArrivals() {
   arrivals_.add(stream_.input().size() - arrivals_.waiting(), fullSince_ != 0 ? fullSince_ : loop_.now());
   if (!stream_.stalled()) {
@@ -134,7 +134,7 @@
         !router_.takesMore(request_, stream_.input().size() - held_)) {
       break;
     }
-    if (!take(side_->step(stream_.input().view(), held_, stream_.output()))) break;
+    if (!handleStep(side_->step(stream_.input().view(), held_, stream_.output()))) break;
     stream_.flush();
   }
   if (!over_) stream_.resume();
@@ -142,7 +142,7 @@
 }
 
 // False where nothing more can be taken at present.
-bool ClientSession::take(const protocol::ClientSide::Step& step) {
+bool ClientSession::handleStep(const protocol::ClientSide::Step& step) {
   using Kind = protocol::ClientSide::Step::Kind;
   if (step.violation) {
     ++observer_.counters.clientProtocolErrors;
@@ -155,19 +155,19 @@
         requestTimeout_.arm(loop_.now() + kRequestTimeout);
       if (!step.part && (known_ || busy_)) requestTimeout_.disarm();
       partSince_ = !step.part ? 0 : partSince_ == 0 ? loop_.now() : partSince_;
-      if (leaving_ && asked_ && stream_.input().empty()) closeIfIdle();
+      if (draining_ && asked_ && stream_.input().empty()) closeIfIdle();
       return false;
     case Kind::Left:
       over();
       return false;
     case Kind::Fatal:
-      if (busy_) takeBack();
+      if (busy_) cancelRequest();
       linger(kLingerTimeout);
       return false;
     case Kind::Request:
       partSince_ = 0;
       held_ = step.consumed;
-      ask();
+      beginRequest();
       return true;
     case Kind::More:
       partSince_ = 0;
@@ -176,7 +176,7 @@
       if (bound_) dropInput(std::exchange(held_, 0));
       return true;
     case Kind::Interrupt:
-      takeBack();
+      cancelRequest();
       return true;
     case Kind::Handled:
       partSince_ = 0;
@@ -186,10 +186,10 @@
   return false;
 }
 
-// The open request has no answer to come: its client has taken it back.
-void ClientSession::takeBack() {
+// The client has cancelled the open request: it gets no answer.
+void ClientSession::cancelRequest() {
   router_.left(request_);
-  rest();
+  finishRequest();
 }
 
 void ClientSession::note(Topic topic, const std::string& text) const {
@@ -201,35 +201,19 @@
   observer_.note(topic, text, about);
 }
 
-// Passes a request on to the router. One that is not understood is failed, never guessed at.
-void ClientSession::ask() {
+// Passes the request at the front of the input on to the router. One that is not understood is failed, never
+// guessed at.
+void ClientSession::beginRequest() {
   asked_ = true;
   owner_.onSessionBusy(*this);
-  if (turnedAway_) return endWith(Reason::TooMany, "too many clients");
+  if (rejecting_) return closeWithError(Reason::TooMany, "too many clients");
   std::string_view problem;
   group_.reset();
   const auto asked = side_->read(wire(), problem);
   if (!asked) return rejectRequest(problem);
-  if (asked->id.empty() || asked->id.size() > kLongestId) {
-    return rejectRequest("the request has no id, or no usual one");
-  }
-  if (!asked->group) return rejectRequest("the request names no cluster");
   group_ = asked->group;
-  const auto spoken = shared_.spoken.find(*asked->group);
-  if (spoken != shared_.spoken.end() && !spoken->second[protocol_]) {
-    return rejectRequest("the cluster is not served in this protocol");
-  }
-  const auto known = shared_.classes.find(asked->className);
-  if (known == shared_.classes.end()) {
-    return rejectRequest("the request has no class, or one that is not known");
-  }
-  const ClassSettings& entry = router_.settings().logic.classes[known->second];
-  if (asked->write && *asked->write != (entry.consistency == Consistency::Write)) {
-    return rejectRequest("the statement is not of its class");
-  }
-  if (entry.effect == Effect::Keyed && !asked->keyed) {
-    return rejectRequest("the request has no key, which its class needs");
-  }
+  problem = problemWith(*asked);
+  if (!problem.empty()) return rejectRequest(problem);
   // Guards the owner of that id: members know a request by it.
   if (!shared_.open.emplace(asked->id).second) {
     return rejectRequest("the request has the id of one that is open");
@@ -237,28 +221,54 @@
   id_ = asked->id;
   known_ = true;
   requestTimeout_.disarm();
+  busy_ = true;
+  bound_ = false;
+  request_ = 0;
+  const Request request = requestOf(*asked);
+  deadline_ = request.deadline;
+  router_.submit(*this, request, protocol_, asked->timeout, request_);
+}
+
+// Why a request that could be read can't be served; empty where it can.
+std::string_view ClientSession::problemWith(const protocol::Asked& asked) const {
+  if (asked.id.empty() || asked.id.size() > kLongestId) return "the request has no id, or no usual one";
+  if (!asked.group) return "the request names no cluster";
+  const auto spoken = shared_.spoken.find(*asked.group);
+  if (spoken != shared_.spoken.end() && !spoken->second[protocol_]) {
+    return "the cluster is not served in this protocol";
+  }
+  const auto known = shared_.classes.find(asked.className);
+  if (known == shared_.classes.end()) return "the request has no class, or one that is not known";
+  const ClassSettings& entry = router_.settings().logic.classes[known->second];
+  if (asked.write && *asked.write != (entry.consistency == Consistency::Write)) {
+    return "the statement is not of its class";
+  }
+  if (entry.effect == Effect::Keyed && !asked.keyed) return "the request has no key, which its class needs";
+  return {};
+}
+
+// The request as the router knows it; problemWith() has found nothing.
+Request ClientSession::requestOf(const protocol::Asked& asked) const {
+  const std::uint32_t classIndex = shared_.classes.find(asked.className)->second;
+  const ClassSettings& entry = router_.settings().logic.classes[classIndex];
   Request request;
-  request.group = *asked->group;
-  request.classIndex = known->second;
-  request.repeat = asked->repeat;
+  request.group = *asked.group;
+  request.classIndex = classIndex;
+  request.repeat = asked.repeat;
   // The client's time for it began with its last byte, however long it has waited behind others since.
   request.deadline =
       arrivals_.lastOf(held_) +
-      (asked->timeoutMs ? std::min(*asked->timeoutMs, kLongestTimeoutMs) * kMicrosPerMilli : entry.deadline);
+      (asked.timeoutMs ? std::min(*asked.timeoutMs, kLongestTimeoutMs) * kMicrosPerMilli : entry.deadline);
   if (entry.consistency == Consistency::Session || entry.consistency == Consistency::Write) {
     // 0 stands for no session.
-    request.session = asked->session.empty() ? 0 : std::max<std::uint64_t>(1, hashOf(asked->session));
+    request.session = asked.session.empty() ? 0 : std::max<std::uint64_t>(1, hashOf(asked.session));
   }
-  if (asked->afterMs) {
-    // What lies ahead of the clock binds as what is written now.
-    const Micros after = std::min(*asked->afterMs, loop_.now() / kMicrosPerMilli + 1) * kMicrosPerMilli;
+  if (asked.afterMs) {
+    // A position ahead of the clock counts as one that is written now.
+    const Micros after = std::min(*asked.afterMs, loop_.now() / kMicrosPerMilli + 1) * kMicrosPerMilli;
     request.sinceLastWrite = std::max<Micros>(0, loop_.now() - after);
   }
-  busy_ = true;
-  bound_ = false;
-  request_ = 0;
-  deadline_ = request.deadline;
-  router_.submit(*this, request, protocol_, asked->timeout, request_);
+  return request;
 }
 
 void ClientSession::rejectRequest(std::string_view message) {
@@ -266,7 +276,7 @@
   note(Topic::Clients, std::string(message));
   side_->rejected(message, stream_.output());
   busy_ = true;
-  answered();
+  onAnswered();
 }
 
 bool ClientSession::hasRoom(std::size_t size) const {
@@ -274,7 +284,7 @@
   return out.empty() || out.size() + size + protocol::ClientSide::kHeadroom <= kLimits.output;
 }
 
-// Guards the client against half an answer: its room is had before anything of it is written.
+// Reserves room for a whole answer before anything of it is written: a client never gets half of one.
 bool ClientSession::fits(const protocol::Answer& answer) {
   transport::Buffer& out = stream_.output();
   if (out.reserve(out.size() + answer.size() + protocol::ClientSide::kHeadroom)) return true;
@@ -299,26 +309,26 @@
   if (!fits(answer)) return failed();
   side_->pass(answer, bytes, loop_.now() / kMicrosPerMilli, stream_.output());
   side_->served(stream_.output());
-  answered();
+  onAnswered();
 }
 
 void ClientSession::refused(Micros retryAfter) {
   side_->refused(retryAfter > 0 ? (retryAfter + kMicrosPerMilli - 1) / kMicrosPerMilli : 0, stream_.output());
-  answered();
+  onAnswered();
 }
 
 void ClientSession::failed() {
   side_->failed(stream_.output());
-  answered();
+  onAnswered();
 }
 
-void ClientSession::answered() {
-  rest();
+void ClientSession::onAnswered() {
+  finishRequest();
   process();
 }
 
 // No request is open any more.
-void ClientSession::rest() {
+void ClientSession::finishRequest() {
   dropInput(std::exchange(held_, 0));
   shared_.open.erase(id_);
   id_.clear();
@@ -326,17 +336,17 @@
   restingSince_ = loop_.now();
   owner_.onSessionResting(*this);
   stream_.flush();
-  // Guards descriptors against clients that never read: once they have stopped waiting the connection ends.
+  // A client that never reads must not keep its descriptor: once it has stopped waiting the connection ends.
   if (!stream_.output().empty()) readTimeout_.arm(std::max(loop_.now(), deadline_) + kReadTimeout);
 }
 
-void ClientSession::endWith(Reason reason, std::string_view message) {
-  side_->lastWord(reason, message, stream_.output());
+void ClientSession::closeWithError(Reason reason, std::string_view message) {
+  side_->fatalError(reason, message, stream_.output());
   linger(kLingerTimeout);
 }
 
-// Every orderly end goes this way. Guards what the client has yet to read, and a request that crosses the
-// close: it is neither sent on nor answered by a reset, and its client sends it again elsewhere.
+// The orderly close of every connection. The client can still read what was sent, and a request that crosses
+// the close is neither sent on nor answered by a reset: its client sends it again on another connection.
 void ClientSession::linger(Micros limit) {
   lingering_ = true;
   requestTimeout_.disarm();
@@ -345,35 +355,35 @@
   stream_.linger(limit);
 }
 
-// The client has let its time go by: with nothing asked, or with a message that does not go on.
-void ClientSession::overdue() {
+// The client has sent nothing, or has not finished a message, in time.
+void ClientSession::onRequestTimeout() {
   if (lingering_ || over_ || (busy_ && partSince_ == 0)) return;
   if (stream_.input().empty()) return linger(kReadTimeout);
-  if (busy_) takeBack();
+  if (busy_) cancelRequest();
   ++observer_.counters.clientProtocolErrors;
   note(Topic::Clients, "a message was not finished in time");
-  endWith(Reason::Unfinished, "the message was not finished in time");
+  closeWithError(Reason::Unfinished, "the message was not finished in time");
 }
 
-void ClientSession::turnAway() {
-  turnedAway_ = leaving_ = true;
-  // One that never asks must not keep others from being told.
+void ClientSession::rejectConnection() {
+  rejecting_ = draining_ = true;
+  // A client that never asks must not keep others from getting their error.
   readTimeout_.arm(loop_.now() + kReadTimeout);
 }
 
-void ClientSession::leave(bool evenUnasked) {
-  leaving_ = true;
+void ClientSession::drain(bool closeNewcomers) {
+  draining_ = true;
   if (asked_) {
     closeIfIdle();
-  } else if (evenUnasked && mayClose()) {
-    endWith(Reason::ShuttingDown, "this gateway ends");
+  } else if (closeNewcomers && mayClose()) {
+    closeWithError(Reason::ShuttingDown, "this gateway ends");
   }
 }
 
-// Whether it stands between requests.
+// Whether it is idle: no request is open, nothing is unread or unsent.
 bool ClientSession::mayClose() const {
   if (busy_ || lingering_ || over_ || !stream_.output().empty()) return false;
-  // Guards descriptors, and the end, against clients that begin a message and never finish it.
+  // A message that was begun and is never finished keeps neither a descriptor nor the process.
   const bool stuck = partSince_ != 0 && loop_.now() - partSince_ > kReadTimeout;
   return stuck || stream_.quiet();
 }
--- a/src/routing/client_session.h
+++ b/src/routing/client_session.h
@@ -20,19 +20,25 @@
 
 class ClientSession;
 
+// Keeps the sessions, and is told of each change of their state.
 class ClientSessionOwner {
  public:
   virtual ~ClientSessionOwner() = default;
+  // The connection has ended; the owner may release the session, but not within the call.
   virtual void onSessionOver(ClientSession& session) = 0;
-  // It has taken a request, answered its last one, or only lingers from now on.
+  // A request has begun.
   virtual void onSessionBusy(ClientSession& session) = 0;
+  // The open request has its answer, or was cancelled.
   virtual void onSessionResting(ClientSession& session) = 0;
+  // No further request is read: what was written still goes out, then the connection ends.
   virtual void onSessionLingering(ClientSession& session) = 0;
 };
 
+// A session answers requests strictly in the order in which they came: the next one is looked at when the one
+// before it has its final answer. Each has its time from its own last byte on.
 class ClientSession final : public Requester, private transport::StreamOwner {
  public:
-  // What all sessions share: the classes by name, and the ids of the requests that are open.
+  // What all sessions share.
   struct Shared {
     explicit Shared(const std::vector<std::string>& classNames) : names(classNames) {
       for (std::size_t i = 0; i < names.size(); ++i) {
@@ -41,34 +47,36 @@
     }
     Shared(const Shared&) = delete;
     Shared& operator=(const Shared&) = delete;
-    std::vector<std::string> names;
-    std::unordered_map<std::string_view, std::uint32_t> classes;
-    std::unordered_set<std::string> open;
-    std::uint64_t connections = 0;  // ever taken in
-    // Where families are named: in which protocols, by index, a group is served. Empty: in all.
+    std::vector<std::string> names;                               // of the classes, by their index
+    std::unordered_map<std::string_view, std::uint32_t> classes;  // the index of each name
+    std::unordered_set<std::string> open;                         // the ids of the open requests
+    std::uint64_t connections = 0;                                // accepted so far
+    // Where families are named: the protocols, by index, in which a group is served. Empty: all.
     std::unordered_map<GroupId, std::vector<bool>> spoken;
   };
 
-  // 'protocol': the index by which the members' side of the same protocol is known; 'name' is the protocol's,
-  // and outlives the session.
+  // 'protocol' is the index of the members' side of the same protocol in the pool; 'name' is the protocol's
+  // name and outlives the session, as all references do.
   ClientSession(transport::EventLoop& loop, ClientSessionOwner& owner, Router& router, Shared& shared,
                 Observer& observer, std::size_t protocol, std::string_view name,
                 std::unique_ptr<protocol::ClientSide> side);
   ~ClientSession() override;
 
+  // Takes over an accepted connection. False where it can't be watched.
   bool adopt(transport::UniqueFd fd);
-  // Every request is refused and the connection ends with the first: there are too many clients.
-  void turnAway();
-  // Ends as soon as it stands between requests. One that has not asked yet may do so first, unless told not
-  // to; it is then told that the process ends.
-  void leave(bool evenUnasked);
-  // Ends it, with a lingering close, where it stands between requests with nothing unread, or with a part of
-  // a message that does not go on; says whether it did.
+  // There are too many clients: the first request gets a fatal error, and the connection ends.
+  void rejectConnection();
+  // Closes the connection as soon as it is idle. A client that has sent no request yet may still send one,
+  // unless 'closeNewcomers' is set: it then gets an error that says that the gateway shuts down.
+  void drain(bool closeNewcomers);
+  // Closes the connection in order if it is idle with nothing unread, or with a part of a message that does
+  // not go on. Says whether it did.
   bool closeIfIdle();
-  // Closes one that only lingers: its place is wanted.
+  // Closes a lingering connection at once, to free its descriptor.
   void closeLingering() { over(); }
-  // Whether it has ever asked what could be understood; since when it stands without a request.
+  // Whether the client has ever sent something that could be understood.
   bool known() const { return known_; }
+  // Since when no request is open, in microseconds of the loop's clock.
   Micros restingSince() const { return restingSince_; }
 
   std::string_view wire() const override;
@@ -86,17 +94,19 @@
   void noteArrivals();
   void dropInput(std::size_t size);
   void process();
-  void ask();
-  bool take(const protocol::ClientSide::Step& step);
+  void beginRequest();
+  std::string_view problemWith(const protocol::Asked& asked) const;
+  Request requestOf(const protocol::Asked& asked) const;
+  bool handleStep(const protocol::ClientSide::Step& step);
   void rejectRequest(std::string_view message);
-  void takeBack();
+  void cancelRequest();
   void note(Topic topic, const std::string& text) const;
   bool fits(const protocol::Answer& answer);
-  void overdue();
-  void answered();
-  void rest();
-  // Says a fatal error as the last word.
-  void endWith(protocol::ClientSide::Reason reason, std::string_view message);
+  void onRequestTimeout();
+  void onAnswered();
+  void finishRequest();
+  // Sends a fatal error and closes the connection in order.
+  void closeWithError(protocol::ClientSide::Reason reason, std::string_view message);
   void linger(Micros limit);
   bool mayClose() const;
   void over();
@@ -107,32 +117,31 @@
   Shared& shared_;
   Observer& observer_;
   transport::Stream stream_;
-  transport::Timer readTimeout_;     // by when it must have read what it no longer waits for
-  transport::Timer requestTimeout_;  // by when it must have asked, or gone on with what it has begun
-  transport::Timer nextTurn_;        // more of the input is looked at
+  transport::Timer readTimeout_;     // for reading what the client no longer waits for
+  transport::Timer requestTimeout_;  // for the first request, and for the rest of a message that has begun
+  transport::Timer nextTurn_;        // continues with the input
   std::size_t protocol_;
   std::string_view protocolName_;
   std::uint64_t number_;          // of the connection
   std::optional<GroupId> group_;  // of the request that is open, or was last
   std::unique_ptr<protocol::ClientSide> side_;
   transport::ArrivalTimes arrivals_;  // of the bytes in the input
-  Micros fullSince_ =
-      0;  // since when the input has been too full for all that the socket holds; 0: it is not
-  Micros partSince_ = 0;  // since when a part of a message stands alone in the input; 0: none does
+  Micros fullSince_ = 0;  // since when the socket may hold more than the input has room for; 0: no
+  Micros partSince_ = 0;  // since when a part of a message is all of the input; 0: it is not
   RequestId request_ = 0;
-  std::size_t held_ = 0;  // what the open request takes at the front of the input
-  std::string id_;        // of the request, while it is open
+  std::size_t held_ = 0;  // the open request's bytes at the front of the input
+  std::string id_;        // the open request's
   Micros restingSince_ = 0;
-  Micros deadline_ = 0;      // of the request
-  bool busy_ = false;        // a request has no answer yet
-  bool bound_ = false;       // and a part of it has been passed on
-  bool processing_ = false;  // the input is being worked on further up the stack
-  bool asked_ = false;
-  bool known_ = false;
-  bool leaving_ = false;
-  bool turnedAway_ = false;
-  bool lingering_ = false;  // all has been said: what is written still goes out
-  bool over_ = false;
+  Micros deadline_ = 0;      // the open request's
+  bool busy_ = false;        // a request is open
+  bool bound_ = false;       // a part of its answer has been passed on
+  bool processing_ = false;  // process() is running
+  bool asked_ = false;       // a request has come on this connection
+  bool known_ = false;       // something has come that could be understood
+  bool draining_ = false;    // to be closed when idle
+  bool rejecting_ = false;   // no request is served
+  bool lingering_ = false;   // nothing more is read; what is written still goes out
+  bool over_ = false;        // the connection has ended
 };
 
 }  // namespace heathflow::routing
--- a/tests/bolt_gateway_test.cpp
+++ b/tests/bolt_gateway_test.cpp
@@ -571,7 +571,7 @@
 
 class BoltBadClients : public testing::Test {
  protected:
-  // Sent behind the login: the connection ends, with this failure as its last word.
+  // Sent behind the login: the connection ends, with this failure as its last message.
   void fatal(const std::string& what, const std::string& bytes) {
     BoltClientStandIn client(rig.loop, rig.endpoint);
     client.say(bytes);
