Pipelined requests at the end of the process and over a new configuration, forced by tests

Need: two of the candidates for requests left open (SIGTERM and a reload while some wait behind another) were ruled out only by reading. No driver code.

--- a/tests/pipelining_test.cpp
+++ b/tests/pipelining_test.cpp
@@ -4,6 +4,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "crossing.h"
 
@@ -145,6 +146,72 @@
   EXPECT_LE(rig_.loop.now(), whole + kShort + kNextTurn);
 }
 
+// The process is told to end while two requests wait behind one that is out: all have their answers before
+// the connection ends in order.
+TEST_P(PipeliningRule, WhatWaitsBehindAnotherIsServedBeforeTheConnectionEnds) {
+  ASSERT_TRUE(
+      client_.send(openingOf(GetParam()) + asking("1", 50'000) + asking("2", 50'000) + asking("3", 50'000)));
+  ASSERT_TRUE(asked(1));
+  bool done = false;
+  rig_.gateway->drain([&] { done = true; });
+  const std::vector<std::string> values = {"the first", "the second", "the third"};
+  for (std::size_t i = 0; i < values.size(); ++i) {
+    ASSERT_TRUE(asked(i + 1));
+    ASSERT_TRUE(passes(rig_.loop.now() + kAhead));
+    EXPECT_FALSE(done);
+    answer(values[i]);
+  }
+  EXPECT_TRUE(client_.gone());
+  EXPECT_FALSE(client_.reset);
+  for (const std::string& value : values) EXPECT_NE(client_.read().find(value), std::string::npos) << value;
+  client_.hangUp();
+  EXPECT_TRUE(rig_.until([&] { return done; }));
+}
+
+// The same where the first one hangs and the longest deadline is 0.4 s: the kill comes 1.1 s after the
+// signal, and by then all have an answer, those that waited a refusal without being sent on.
+TEST_P(PipeliningRule, WhatWaitsBehindOneThatHangsIsAnsweredBeforeTheKill) {
+  GatewayOptions brief = options();
+  brief.aimMs = 200;
+  brief.deadlineMs = 400;
+  GatewayRig rig(brief, 1);
+  rig.answerAll([](Line&, const std::string&) {});
+  PlainSocket client(rig.loop, rig.endpoint);
+  ASSERT_TRUE(
+      client.send(openingOf(GetParam()) + asking("1", 60'000) + asking("2", 60'000) + asking("3", 60'000)));
+  ASSERT_TRUE(rig.until([&] { return rig.statements().size() == 1; }));
+  const Micros told = rig.loop.now();
+  rig.gateway->drain([] {});
+  EXPECT_TRUE(client.gone());
+  EXPECT_FALSE(client.reset);
+  EXPECT_LE(rig.loop.now(), told + 1'100 * kMillis);
+  EXPECT_EQ(rig.statements().size(), 1U);
+  // In Bolt a failure has what stands behind it ignored.
+  EXPECT_EQ(rig.counters().requestsRefused + rig.counters().requestsFailed,
+            GetParam() == Speaks::Bolt ? 1U : 3U);
+}
+
+// A new configuration moves discovery while a request waits behind another: it is sent on as before, and its
+// time is not put off.
+TEST_P(PipeliningRule, ANewConfigurationLeavesARequestItsTime) {
+  ASSERT_TRUE(client_.send(openingOf(GetParam()) + asking("1", 50'000) + asking("2", kShortMs)));
+  ASSERT_TRUE(asked(1));
+  const Micros whole = rig_.loop.now();
+  DiscoveryStandIn place(rig_.loop);
+  place.members = rig_.discovery.members;
+  program::Config fresh = rig_.config;
+  fresh.discovery = place.endpoint();
+  rig_.gateway->reload(fresh);
+  ASSERT_TRUE(rig_.until([&] { return place.waiting != nullptr; }));
+  ASSERT_TRUE(passes(whole + kAhead));
+  ASSERT_TRUE(sendAndRead(asking("3", 50'000).substr(0, 20)));
+  answer("the first");
+  ASSERT_TRUE(asked(2));
+  ASSERT_TRUE(rig_.until([&] { return answered() == 2; }));
+  EXPECT_GE(rig_.loop.now(), whole + kShort);
+  EXPECT_LE(rig_.loop.now(), whole + kShort + kNextTurn);
+}
+
 INSTANTIATE_TEST_SUITE_P(Pipelining, PipeliningRule, kBoth, nameOf);
 
 }  // namespace
