--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -333,7 +333,9 @@
       while (now_ - model.cold.front() > settings_.fallWindow) model.cold.pop_front();
       const double can = plan_.cores * warmthOf(model) * static_cast<double>(settings_.fallWindow) /
                          static_cast<double>(plan_.work);
-      result_.coldPeak = std::max(result_.coldPeak, static_cast<double>(model.cold.size()) / can);
+      const auto got = static_cast<double>(model.cold.size());
+      result_.coldPeak = std::max(result_.coldPeak, got / can);
+      result_.coldLoad = std::max(result_.coldLoad, got / loadToFall(settings_.fallMultiple * can));
     }
     RouterModel& router = routers_[work->router];
     if (router.badFor.contains(id)) return lose(work, id, Outcome::Error);
@@ -560,6 +562,8 @@
 
 }  // namespace
 
+double loadToFall(double allowed) { return allowed + 2 * std::sqrt(allowed) + 2; }
+
 Settings settingsOf(const Plan& plan) {
   Settings out;
   for (std::uint32_t i = 0; i < kClasses; ++i) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -59,6 +59,7 @@
   std::uint64_t afterFailover = 0;    // groups and routers that found a new primary
   Micros foundAfter = 0;              // how long a router's first write there waited for it, in the mean
   double coldPeak = 0;  // most work a cold member got in a fall window, as a multiple of what it can do
+  double coldLoad = 0;  // the same as a share of the load at which a cold member falls, see loadToFall()
   std::array<std::uint64_t, sparing::kReasons> probesBy{};
   std::array<std::uint64_t, sparing::kHindrances> givenUpBy{};
   std::vector<Window> windows;
@@ -67,6 +68,9 @@
   std::vector<std::uint64_t> memberAttempts;
 };
 
+// How many requests of mean work in a fall window a cold member bears where it is expected to bear 'allowed'
+// of them: what goes beyond by two standard deviations, and two, is chance (STANDING, Days at full size).
+double loadToFall(double allowed);
 // The settings that all routers of a plan get.
 Settings settingsOf(const Plan& plan);
 // Plays a plan from its start to its end. Equal plans give equal results.
--- /dev/null
+++ b/tests/large_list_test.cpp
@@ -0,0 +1,154 @@
+// Lists of 1,500 members, and settings that name 1,500 drivers, in the built program: taken in, indented too,
+// with one thread and within 32 MB, and requests are served afterwards.
+#include <gtest/gtest.h>
+
+#include <list>
+
+#include "program_process.h"
+#include "standins/gateway_rig.h"
+#include "standins/process_status.h"
+
+namespace heathflow::test {
+namespace {
+
+constexpr std::size_t kMembers = 1'500;
+constexpr unsigned kDrivers = 1'500;
+constexpr std::size_t kGroups = 300;
+constexpr std::size_t kMemoryMb = 32;
+constexpr std::size_t kServedAtTheEnd = 50;
+constexpr std::size_t kOthers = 20;  // clients
+constexpr long kShortMs = 100;
+// Long names: the page gives them no width.
+const std::string kName(48, 'n');
+const std::string kLocality(32, 'z');
+
+// A JSON document with a line for each value and deep indentation.
+std::string indented(const std::string& json) {
+  std::string out;
+  std::size_t depth = 0;
+  bool quoted = false;
+  const auto newLine = [&] { out += "\n" + std::string(depth * 8, ' '); };
+  for (const char c : json) {
+    if (c == '"') quoted = !quoted;
+    if (!quoted && (c == '}' || c == ']')) {
+      --depth;
+      newLine();
+    }
+    out += c;
+    if (quoted) continue;
+    if (c == '{' || c == '[') ++depth;
+    if (c == '{' || c == '[' || c == ',') newLine();
+    if (c == ':') out += "  ";
+  }
+  return out;
+}
+
+class Site {
+ public:
+  Site() : first(loop, kLoopback + 1), second(loop, kLoopback + 2), discovery(loop) {
+    first.primary = second.primary = true;
+  }
+  // Members of all groups. Those of the first are reached at the stand-in that leads it, the others nowhere.
+  std::string entries(const std::string& firstAddress, std::int64_t upSinceMs) const {
+    std::string out;
+    for (std::size_t i = 0; i < kMembers; ++i) {
+      const std::size_t group = i % kGroups;
+      const bool leads = i < kGroups;
+      const std::string number = std::to_string(i);
+      const std::string address =
+          i == 0 ? firstAddress
+                 : "127." + std::to_string(100 + i / 250) + ".200." + std::to_string(1 + i % 250) + ":65432";
+      out += (i == 0 ? "" : ",");
+      out += "{\"id\":\"s-" + kName + number + "\",\"host_port\":\"" + address + "\",\"locality\":\"" +
+             kLocality + std::to_string(i % 7) + "\",\"flavor\":\"" + kName +
+             "\",\"cell\":" + std::to_string(group) +
+             ",\"phase\":\"Ready\",\"size\":1.0,\"up_since_ms\":" + std::to_string(upSinceMs) +
+             ",\"mode\":\"" + (leads ? "read-write" : "read-only") + "\"}";
+    }
+    return "[" + out + "]";
+  }
+  template <typename Condition>
+  bool until(Condition&& condition) {
+    return test::until(loop, std::forward<Condition>(condition));
+  }
+
+  transport::EventLoop loop;
+  MemberStandIn first;
+  MemberStandIn second;
+  DiscoveryStandIn discovery;
+};
+
+GatewayOptions options() {
+  GatewayOptions out;
+  out.drivers = kDrivers;
+  out.memoryMb = kMemoryMb;
+  out.askWithinMs = 4'000;
+  out.connectTimeoutMs = 500;
+  return out;
+}
+
+// In the configuration, then as a whole list that moves the first group's leader, then as changes of all.
+TEST(LargeLists, AreTakenInWithinTheMemoryOfASmallProcess) {
+  Site site;
+  site.discovery.silent = true;
+  const std::string known = indented(site.entries(site.first.address(), 0));
+  Process process(configText(options(), site.discovery.address(), known));
+  ASSERT_TRUE(site.until([&] { return process.says("serves at"); })) << process.log();
+  ClientStandIn client(site.loop, process.endpoint());
+  client.ask(request("save", "by-the-configuration"));
+  ASSERT_TRUE(client.answered());
+  EXPECT_EQ(client.value(), "from " + site.first.address());
+
+  site.discovery.silent = false;
+  site.discovery.revision = 2;
+  site.discovery.members = site.discovery.news = indented(site.entries(site.second.address(), 0));
+  ASSERT_TRUE(site.until([&] { return site.discovery.waiting != nullptr; })) << process.log();
+  client.forget();
+  client.ask(request("save", "by-a-list"));
+  ASSERT_TRUE(client.answered());
+  EXPECT_EQ(client.value(), "from " + site.second.address());
+
+  // Every entry changes, five times over, and each time the first group's leader is another.
+  for (int i = 0; i < 5; ++i) {
+    MemberStandIn& leads = i % 2 == 0 ? site.first : site.second;
+    site.discovery.tell(indented(site.entries(leads.address(), 0)));
+    ASSERT_TRUE(site.until([&] { return site.discovery.waiting != nullptr; })) << process.log();
+    client.forget();
+    client.ask(request("save", "by-changes" + std::to_string(i)));
+    ASSERT_TRUE(client.answered());
+    EXPECT_EQ(client.value(), "from " + leads.address());
+    EXPECT_LT(residentOf(process.pid()), kMemoryMb * 1'000'000);
+  }
+
+  // Requests to every group: none but the first can be reached, and each has its answer.
+  std::list<ClientStandIn> others;
+  for (std::size_t i = 0; i < kOthers; ++i) others.emplace_back(site.loop, process.endpoint());
+  auto next = others.begin();
+  for (std::size_t group = 1; group < kGroups; ++group) {
+    std::string text = request("any", "group" + std::to_string(group), "", kShortMs);
+    text.replace(text.find("cluster=0"), 9, "cluster=" + std::to_string(group));
+    next->ask(text);
+    if (++next == others.end()) next = others.begin();
+  }
+  std::size_t answers = 0;
+  ASSERT_TRUE(site.until([&] {
+    for (auto& other : others) {
+      for (const auto& message : other.messages()) answers += message.type == 'Z' ? 1 : 0;
+      other.forget();
+    }
+    return answers == kGroups - 1;
+  }));
+  for (std::size_t i = 0; i < kServedAtTheEnd; ++i) {
+    client.forget();
+    client.ask(request("any", "last" + std::to_string(i)));
+    ASSERT_TRUE(client.answered());
+    EXPECT_EQ(client.types(), "TDCZ");
+  }
+  EXPECT_GT(statusOf(process.pid(), "VmHWM"), 0U);
+  EXPECT_LT(statusOf(process.pid(), "VmHWM") * 1024, kMemoryMb * 1'000'000) << "at its highest";
+  EXPECT_EQ(statusOf(process.pid(), "Threads"), 1U);
+  EXPECT_FALSE(process.says("can't be read")) << process.log();
+}
+
+}  // namespace
+}  // namespace heathflow::test
--- /dev/null
+++ b/tests/readiness_test.cpp
@@ -0,0 +1,106 @@
+// A process that starts is ready, by the list that it was given, whatever discovery does: it answers an empty
+// query, which is what the platform's front waits for, and serves.
+#include <gtest/gtest.h>
+
+#include <functional>
+
+#include "program_process.h"
+#include "standins/gateway_rig.h"
+
+namespace heathflow::test {
+namespace {
+
+// What discovery does with every call.
+enum class Discovery { Silent, Refuses, TurnsAway, Resets, StopsHalfway };
+
+struct Start {
+  Discovery discovery;
+  const char* lists;  // the setting: "ask" or "push"
+};
+
+class Readiness : public testing::TestWithParam<Start> {
+ protected:
+  // Answers as the parameter says; the silent one takes connections in and says nothing.
+  void act(Line& line) {
+    switch (GetParam().discovery) {
+      case Discovery::Silent:
+      case Discovery::Refuses:
+        return;
+      case Discovery::TurnsAway:
+        return line.say(DiscoveryStandIn::response("", 503));
+      case Discovery::Resets:
+        return line.hangUp();
+      case Discovery::StopsHalfway:
+        return line.say("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"revision\":2,\"complete\":true,");
+    }
+  }
+};
+
+class ScriptedDiscovery final : public Listening {
+ public:
+  ScriptedDiscovery(transport::EventLoop& loop, std::function<void(Line&)> act)
+      : Listening(loop), act_(std::move(act)) {
+    resets = true;
+  }
+
+ private:
+  void onLineInput(Line& line) override { act_(line); }
+  std::function<void(Line&)> act_;
+};
+
+TEST_P(Readiness, DoesNotWaitForDiscovery) {
+  transport::EventLoop loop;
+  MemberStandIn member(loop, kLoopback);
+  member.primary = true;
+  ScriptedDiscovery discovery(loop, [this](Line& line) { act(line); });
+  if (GetParam().discovery == Discovery::Refuses) discovery.shut();
+  GatewayOptions options;
+  options.discovery = GetParam().lists;
+  options.drivers = 300;
+  Process process(configText(options, discovery.address(), "[" + entry("m0", member.address(), true) + "]"));
+  // Three lives: a start, and restarts after kills.
+  for (unsigned life = 1; life <= 3; ++life) {
+    ASSERT_TRUE(until(loop, [&] { return process.endpoint().port != 0; })) << process.log();
+    ClientStandIn front(loop, process.endpoint());
+    front.ask("");
+    ASSERT_TRUE(front.answered());
+    EXPECT_EQ(front.types(), "IZ") << "an empty query";
+    front.forget();
+    front.ask(request("save", "life" + std::to_string(life)));
+    ASSERT_TRUE(front.answered());
+    EXPECT_EQ(front.value(), "from " + member.address());
+    if (life == 3) break;
+    process.kill();
+    process.restart();
+  }
+}
+
+const char* nameOf(Discovery discovery) {
+  switch (discovery) {
+    case Discovery::Silent:
+      return "Silent";
+    case Discovery::Refuses:
+      return "Refuses";
+    case Discovery::TurnsAway:
+      return "TurnsAway";
+    case Discovery::Resets:
+      return "Resets";
+    case Discovery::StopsHalfway:
+      return "StopsHalfway";
+  }
+  return "";
+}
+
+INSTANTIATE_TEST_SUITE_P(Starts, Readiness,
+                         testing::Values(Start{Discovery::Silent, "ask"}, Start{Discovery::Refuses, "ask"},
+                                         Start{Discovery::TurnsAway, "ask"}, Start{Discovery::Resets, "ask"},
+                                         Start{Discovery::StopsHalfway, "ask"},
+                                         Start{Discovery::Silent, "push"}, Start{Discovery::Refuses, "push"},
+                                         Start{Discovery::TurnsAway, "push"}),
+                         [](const testing::TestParamInfo<Start>& start) {
+                           return std::string(nameOf(start.param.discovery)) +
+                                  (start.param.lists[0] == 'a' ? "Asked" : "Pushed");
+                         });
+
+}  // namespace
+}  // namespace heathflow::test
