A request that is read together with its client's close is not begun

Seen: a client that asks and closes at once had its request sent to a member: on a connection that was idle it was written in the same turn, and taken back right behind. Where clients wait in the listener's queue or the loop is busy, the close lies long before that turn. To blame: Stream::readInput hands on the bytes before it tells the end, and ClientSession::onInput began the first request of these.

Change: the stream tells that its peer has gone (hungUp), and a session of such a client ends before it looks at what was asked.

Ruled out, by tests that pass without the mend: a retry that waits, a dial on its way for a first or a further attempt, a held request, 400 KB pipelined behind a busy one and left unread, Bolt's RESET while dialling or waiting.

Left: a close that stands behind more than input and kernel buffer hold can't be seen before that much was read.

--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -63,6 +63,8 @@
 std::string_view ClientSession::wire() const { return stream_.input().view().substr(0, held_); }
 
 void ClientSession::onInput() {
+  // A client that has closed waits for nothing: what it asked last is not begun.
+  if (stream_.hungUp()) return over();
   readAt_ = loop_.now();
   process();
   // Guards memory: a message for which there is none is turned away, so that others get theirs.
--- a/src/transport/stream.cpp
+++ b/src/transport/stream.cpp
@@ -113,7 +113,7 @@
       if (moved.size < room.size && !hungUp_) break;
       continue;
     }
-    over = true;
+    over = hungUp_ = true;
     if (moved.kind == Transfer::Kind::Failed) ended = StreamEnd::Failed;
   }
   if (got > 0) owner_.onInput();
--- a/src/transport/stream.h
+++ b/src/transport/stream.h
@@ -49,6 +49,8 @@
   void flush();
   // Whether there was more to read than the input, or the memory of all, has room for.
   bool stalled() const { return stalled_; }
+  // Whether the peer has ended its side or the connection broke: nothing comes behind what has come by now.
+  bool hungUp() const { return hungUp_; }
   // Reads on after the owner has made room in a full input.
   void resume();
   // Whether nothing has come in unnoticed: no bytes, no close, no error.
@@ -80,7 +82,7 @@
   std::size_t dropped_ = 0;
   std::optional<StreamEnd> dropEnd_;  // how what was thrown away ended
   bool stalled_ = false;              // the input was full when there was more to read
-  bool hungUp_ = false;               // and the peer has closed behind it
+  bool hungUp_ = false;               // the peer has closed, or the connection broke
 };
 
 }  // namespace heathflow::transport
