Clients that ask again and again keep their places against idle crowds

Seen, with the built program, 96 descriptors and discovery away: eight clients that ask again and again, then 150 idle ones. Silent or introduced ones cost one of the eight its connection, ones that ask once and stay cost all eight theirs. To blame: ClientListener::thinOut took whichever kind there were more of (8 resting against 7 silent), and makeRoom took the longest idle of all that had ever asked, which a burst makes the good ones.

Change: clients that have asked more than once stand apart. Idle ones go in the order unknown, asked once, asked again, and a kind goes only while it holds more places than those before it. A session counts its requests (client_session: three lines).

--- a/src/routing/client_listener.cpp
+++ b/src/routing/client_listener.cpp
@@ -85,19 +85,33 @@
   return false;
 }
 
-// Room for one more client. First goes who has been told its last, then who has asked nothing that could be
-// understood, then who has stood between requests for longest.
+// Room for one more client. First go connections that only linger, then idle ones.
 bool ClientListener::makeRoom() {
   while (!budget_.clientFits()) {
     if (!lingering_.empty()) {
       lingering_.front()->closeLingering();
-    } else if (!closeOneOf(unknown_) && !closeOneOf(resting_)) {
+      continue;
+    }
+    const auto kinds = mayGo();
+    if (std::none_of(kinds.begin(), kinds.end(), [this](Sessions* kind) { return closeOneOf(*kind); })) {
       return false;
     }
   }
   return true;
 }
 
+// First those that have asked nothing that could be understood, then those that have asked once, then the
+// others. Guards each against a crowd of those before it: it only goes where it holds more places than they.
+std::vector<ClientListener::Sessions*> ClientListener::mayGo() {
+  std::vector<Sessions*> kinds = {&unknown_};
+  if (once_.size() >= unknown_.size()) kinds.push_back(&once_);
+  const auto returned = static_cast<std::size_t>(
+      std::count_if(busy_.begin(), busy_.end(), [](const auto& session) { return session->returned(); }));
+  const std::size_t others = unknown_.size() + once_.size() + busy_.size() - returned;
+  if (regular_.size() + returned > others) kinds.push_back(&regular_);
+  return kinds;
+}
+
 bool ClientListener::closeOneOf(Sessions& sessions) {
   for (int passed = 0; !sessions.empty() && passed < kPassedAtMost; ++passed) {
     ClientSession& oldest = *sessions.front();
@@ -108,19 +122,24 @@
   return false;
 }
 
-// Guards the places that clients may hold against those that ask once and stay, and those that never ask:
-// once many are taken the longest idle give theirs back, of whichever kind there are more.
+// Guards the places that clients may hold against those that never ask, and those that ask once and stay:
+// once many are taken idle ones give theirs back, in the order in which they go for others.
 void ClientListener::thinOut() {
   while (budget_.clientsCrowd()) {
-    Sessions& from = unknown_.size() >= resting_.size() ? unknown_ : resting_;
-    if (from.empty()) return;
-    const Micros due = from.front()->restingSince() + kLeftAlone;
-    if (due > loop_.now()) return thinning_.arm(due);
-    if (!closeOneOf(from)) return thinning_.arm(loop_.now() + kLeftAlone);
+    const auto kinds = mayGo();
+    if (std::none_of(kinds.begin(), kinds.end(),
+                     [this](Sessions* kind) { return rested(*kind) && closeOneOf(*kind); })) {
+      return thinning_.arm(loop_.now() + kLeftAlone);
+    }
     ++observer_.counters.clientsRested;
   }
 }
 
+// Whether the longest idle of them has been left alone for long enough.
+bool ClientListener::rested(const Sessions& sessions) const {
+  return !sessions.empty() && sessions.front()->restingSince() + kLeftAlone <= loop_.now();
+}
+
 void ClientListener::move(ClientSession& session, Sessions& to) {
   const auto found = index_.find(&session);
   if (found == index_.end()) return;
@@ -131,7 +150,7 @@
 void ClientListener::onSessionBusy(ClientSession& session) { move(session, busy_); }
 
 void ClientListener::onSessionResting(ClientSession& session) {
-  move(session, session.known() ? resting_ : unknown_);
+  move(session, !session.known() ? unknown_ : session.returned() ? regular_ : once_);
   if (!thinning_.armed()) thinOut();
 }
 
@@ -143,7 +162,7 @@
 std::vector<ClientSession*> ClientListener::all() const {
   std::vector<ClientSession*> out;
   out.reserve(index_.size());
-  for (const Sessions* list : {&resting_, &unknown_, &lingering_, &busy_}) {
+  for (const Sessions* list : {&regular_, &once_, &unknown_, &lingering_, &busy_}) {
     for (const auto& session : *list) out.push_back(session.get());
   }
   return out;
--- a/src/routing/client_listener.h
+++ b/src/routing/client_listener.h
@@ -40,6 +40,9 @@
   bool makeRoom();
   bool closeOneOf(Sessions& sessions);
   void thinOut();
+  bool rested(const Sessions& sessions) const;
+  // Whose sessions may be ended between requests, those that go first in front.
+  std::vector<Sessions*> mayGo();
   void move(ClientSession& session, Sessions& to);
   std::vector<ClientSession*> all() const;
   void admit(transport::UniqueFd fd, bool fits);
@@ -56,9 +59,10 @@
   ClientSession::Shared& shared_;
   transport::UniqueFd listener_;
   Sessions busy_;       // with a request out
-  Sessions resting_;    // between requests, the longest first
+  Sessions regular_;    // between requests and have asked more than once; the longest idle first
+  Sessions once_;       // have asked once; the longest idle first
   Sessions unknown_;    // nothing could be understood of them so far; the oldest first
-  Sessions lingering_;  // told their last; the oldest first
+  Sessions lingering_;  // have had their last answer and are closing; the oldest first
   struct Held {
     Sessions* in;
     Sessions::iterator at;
--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -220,6 +220,7 @@
   }
   id_ = asked->id;
   known_ = true;
+  ++requests_;
   requestTimeout_.disarm();
   Request request;
   request.group = *asked->group;
--- a/src/routing/client_session.h
+++ b/src/routing/client_session.h
@@ -66,8 +66,10 @@
   bool closeIfIdle();
   // Closes one that only lingers: its place is wanted.
   void closeLingering() { over(); }
-  // Whether it has ever asked what could be understood; since when it stands without a request.
+  // Whether it has ever asked what could be understood, and whether it has done so more than once; since when
+  // it stands without a request.
   bool known() const { return known_; }
+  bool returned() const { return requests_ > 1; }
   Micros restingSince() const { return restingSince_; }
 
   std::string_view wire() const override;
@@ -124,6 +126,7 @@
   bool processing_ = false;  // the input is being worked on further up the stack
   bool asked_ = false;
   bool known_ = false;
+  std::uint64_t requests_ = 0;  // understood so far
   bool leaving_ = false;
   bool turnedAway_ = false;
   bool lingering_ = false;  // all has been said: what is written still goes out
