--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -63,6 +63,8 @@
 std::string_view ClientSession::wire() const { return stream_.input().view().substr(0, held_); }
 
 void ClientSession::onInput() {
+  // A client that has closed waits for nothing: what it asked last is not begun.
+  if (stream_.hungUp()) return over();
   noteArrivals();
   process();
   // A message for which there is no memory ends its connection, so that others get theirs.
@@ -220,6 +222,7 @@
   }
   id_ = asked->id;
   known_ = true;
+  ++requests_;
   requestTimeout_.disarm();
   busy_ = true;
   bound_ = false;
--- a/src/routing/client_session.h
+++ b/src/routing/client_session.h
@@ -76,6 +76,8 @@
   void closeLingering() { over(); }
   // Whether the client has ever sent something that could be understood.
   bool known() const { return known_; }
+  // Whether it has asked more than once what could be understood.
+  bool returned() const { return requests_ > 1; }
   // Since when no request is open, in microseconds of the loop's clock.
   Micros restingSince() const { return restingSince_; }
 
@@ -132,16 +134,17 @@
   std::size_t held_ = 0;  // the open request's bytes at the front of the input
   std::string id_;        // the open request's
   Micros restingSince_ = 0;
-  Micros deadline_ = 0;      // the open request's
-  bool busy_ = false;        // a request is open
-  bool bound_ = false;       // a part of its answer has been passed on
-  bool processing_ = false;  // process() is running
-  bool asked_ = false;       // a request has come on this connection
-  bool known_ = false;       // something has come that could be understood
-  bool draining_ = false;    // to be closed when idle
-  bool rejecting_ = false;   // no request is served
-  bool lingering_ = false;   // nothing more is read; what is written still goes out
-  bool over_ = false;        // the connection has ended
+  Micros deadline_ = 0;         // the open request's
+  bool busy_ = false;           // a request is open
+  bool bound_ = false;          // a part of its answer has been passed on
+  bool processing_ = false;     // process() is running
+  bool asked_ = false;          // a request has come on this connection
+  bool known_ = false;          // something has come that could be understood
+  std::uint64_t requests_ = 0;  // understood so far
+  bool draining_ = false;       // to be closed when idle
+  bool rejecting_ = false;      // no request is served
+  bool lingering_ = false;      // nothing more is read; what is written still goes out
+  bool over_ = false;           // the connection has ended
 };
 
 }  // namespace heathflow::routing
