Members of the own zone come first where crossing has a price

Change: where the settings give crossing a price, the members of a router's own zone make up the first half of its order; an order is worth less than one request, so that no queue is taken for it. Could harm where zones have much unequal traffic: learned slowness then leads away. The test was seen to fail without the change.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -161,6 +161,12 @@
   bool longRead(std::size_t index) const;
   double longShare() const;  // of the replicas' work, how much long reads are
   double slownessOf(const Peer& peer) const;
+  // Where crossing zones has a price the members of the router's own zone make up the first half of its
+  // order.
+  double orderOf(const Peer& peer) const {
+    return settings_.crossingCosts ? (peer.order + (peer.info.zone == settings_.zone ? 0 : 1)) / 2
+                                   : peer.order;
+  }
   Micros coldSince(const Peer& peer) const {
     return peer.lost ? now_ : std::max(peer.info.launched, peer.returnedAt);
   }
@@ -909,7 +915,7 @@
       crowd = std::max(crowd.value_or(0), limitOf(peer));
       continue;
     }
-    const double work = peer.load / warmthOf(peer) + cost + kOwnOrder * peer.order;
+    const double work = peer.load / warmthOf(peer) + cost + kOwnOrder * orderOf(peer);
     double score = work * slownessOf(peer) * (1 + kJitter * random());
     if (peer.doubted) score *= kTriedPenalty;
     for (const Try& attempt : job.tries) score *= attempt.member == id ? kTriedPenalty : 1;
--- a/src/logic.h
+++ b/src/logic.h
@@ -38,7 +38,9 @@
 
 struct Settings {
   std::vector<ClassSettings> classes;
-  unsigned drivers = 1;  // how many routers share the members
+  std::uint32_t zone = 0;      // this router's own
+  bool crossingCosts = false;  // attempts at members of other zones have a price
+  unsigned drivers = 1;        // how many routers share the members
   Micros tick = 0;
   Guard guard = Guard::Silent;
   Micros catchUpWait = 0;  // how long a member with Guard::Wait waits before it turns a read away
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -158,6 +158,9 @@
   logic.tokens = tokenModeOf(readOr<std::string>(family, "TokenMode", ""));
   out.positionZero = read<Micros, Sign::Any>(family, "PositionZero");
   logic.answersTellPosition = readOr<bool>(family, "Positions", false);
+  logic.zone = readOr<std::uint32_t>(json, "Az", 0);
+  if (json.contains("Charges"))
+    logic.crossingCosts = readOr<double>(json.at("Charges"), "CrossZone", 0.0) > 0;
   logic.drivers = std::max(1u, readOr<unsigned>(json, "Balancers", 1u));
   logic.tick = readOr<Micros>(json, "Tick", 0);
   logic.mustAsk = readOr<std::string>(json, "Discovery", "") != "push";
--- a/tests/logic_test_signals.cpp
+++ b/tests/logic_test_signals.cpp
@@ -155,6 +155,28 @@
   EXPECT_EQ(rig.sentTo(rig.ask(kBounded)), Members{1}) << "none is guessed at again";
 }
 
+TEST(Signals, MembersOfTheOwnZoneComeFirstWhereCrossingHasAPrice) {
+  const auto crossings = [](bool costs) {
+    Settings settings = makeSettings();
+    settings.zone = 1;
+    settings.crossingCosts = costs;
+    int crossed = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      Rig rig(settings, seed);
+      std::vector<Member> members = {makeMember(1, true), makeMember(2), makeMember(3)};
+      members[2].zone = 1;
+      rig.list(members);
+      const auto first = rig.ask(kAny);
+      crossed += rig.sentTo(first) == Members{2} ? 1 : 0;
+      EXPECT_EQ(rig.sentTo(rig.ask(kAny)).size(), 1U);
+      EXPECT_NE(rig.sentTo(rig.lastId), rig.sentTo(first)) << "not at the price of a queue";
+    }
+    return crossed;
+  };
+  EXPECT_EQ(crossings(true), 0);
+  EXPECT_GT(crossings(false), 4);
+}
+
 TEST(Signals, TheSettingsSayWhatTellsPositions) {
   const Settings told = settings::parseSettings(kSettingsText).logic;
   EXPECT_TRUE(told.probesTellPosition);
@@ -174,6 +196,11 @@
   EXPECT_FALSE(silent.probesTellRole);
   EXPECT_TRUE(silent.answersTellPosition);
   EXPECT_EQ(silent.catchUpWait, 20 * kMs);
+  EXPECT_FALSE(silent.crossingCosts);
+  replace(R"("Az": 0)", R"("Az": 1, "Charges": {"CrossZone": 0.04})");
+  const Settings priced = settings::parseSettings(text).logic;
+  EXPECT_TRUE(priced.crossingCosts);
+  EXPECT_EQ(priced.zone, 1U);
 }
 
 TEST(Signals, AimsTellWhichReadsAreLongBeforeAnswersDo) {
