Many routers may space their requests out further, and format

A router's limit of a member fell to a quarter at the least: 79 of them still sent a member about three times what it can do. Change: where the first limits are shared by the routers, so is the least. Could harm where few of many routers carry all traffic. The test was seen to fail without the change.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -25,7 +25,8 @@
 constexpr double kProbeWaitShare = 0.125;
 // Guards against a carried age that was rounded on its way to us.
 constexpr Micros kTokenSlack = kMillisecond;
-// What makes a replica lag (a crowd, a slow log) outlasts the lag: for so many times as long it counts as behind.
+// What makes a replica lag (a crowd, a slow log) outlasts the lag: for so many times as long it counts as
+// behind.
 constexpr Micros kLagKept = 16;
 
 // Failover. How often the members of a group without a primary are asked who leads.
@@ -204,6 +205,8 @@
   bool roomAt(const Peer& peer, double load, Job& job) const;
   bool jammed(const Record& record, const Job& job) const;
   double usualOf(const Job& job) const;
+  // A share of one request, or of the router's part where all share fewer than one each.
+  double limitLeast() const { return kLimitLeast * std::min(1.0, kLimitStart / settings_.drivers); }
   double firstLimit() const { return std::max(1.0, kLimitStart / settings_.drivers); }
   Micros fallWindow() const { return std::max(settings_.fallWindow, kMillisecond); }
   Micros askWithin() const { return std::max(settings_.askWithin, kSecond); }  // never a tight loop
@@ -580,7 +583,7 @@
   peer.easedAt = now_;
   if (unserved || event.outcome == Outcome::Error) peer.order = 0.5 * (1 + random());  // others come first
   if (unserved || (ok && late)) {
-    peer.limit = std::max(kLimitLeast, peer.limit * kLimitCut);
+    peer.limit = std::max(limitLeast(), peer.limit * kLimitCut);
   } else if (ok && peer.load * 2 >= peer.limit) {
     peer.limit = std::min(kLimitMost, peer.limit + std::min(1 / peer.limit, kLimitGrowth * peer.limit));
   }
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -1507,6 +1507,28 @@
   EXPECT_LT(sent, 100);
 }
 
+// Guards a jammed member against hundreds of routers that each still send it one request now and then.
+TEST(Load, ManyRoutersSpaceRequestsOutFurther) {
+  const auto sentBy = [](unsigned drivers) {
+    Settings settings = makeSettings();
+    settings.drivers = drivers;
+    Rig rig(settings);
+    rig.list({makeMember(1, true)});
+    std::size_t sent = 0;
+    for (int i = 0; i < 3000; ++i) {
+      rig.probed(1, Role::Primary, rig.now);
+      rig.ask(kFresh);
+      rig.pass(10 * kMs);
+      const auto attempts = rig.all<Attempt>();
+      if (i >= 2000) sent += attempts.size();
+      rig.forget();
+      for (const Attempt& a : attempts) rig.end(a.request, 0, Outcome::Ok, Role::Primary, {}, 290 * kMs);
+    }
+    return sent;
+  };
+  EXPECT_LT(2 * sentBy(240), sentBy(24));
+}
+
 TEST(Load, AMarkedRepeatGetsOnlyRoomThatIsFree) {
   const auto answerTo = [](bool repeat, int before) {
     KnownRig rig;
