--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -25,6 +25,8 @@
 constexpr double kProbeWaitShare = 0.125;
 // Guards against a carried age that was rounded on its way to us.
 constexpr Micros kTokenSlack = kMillisecond;
+// What makes a replica lag outlasts the lag: for so many times as long it counts as behind.
+constexpr Micros kLagKept = 16;
 
 // Failover. How often the members of a group without a primary are asked who leads.
 constexpr Micros kSeekEvery = 400 * kMillisecond, kSeekAllEvery = 4 * kSeekEvery;
@@ -135,6 +137,7 @@
   bool tryPlace(Job& job, Group& group);
   Peer* choose(Job& job, Group& group);
   double packsOf(const Group& group, const Peer* primary) const;
+  Peer* askByWrite(Job& job, const Group& group);
   Peer* chooseReplica(Job& job, Group& group, const Peer* primary, std::optional<double>& crowd);
   void send(Job& job, Peer& peer);
   void hold(Job& job, Group& group);
@@ -161,6 +164,10 @@
   bool longRead(std::size_t index) const;
   double longShare() const;  // of the replicas' work, how much long reads are
   double slownessOf(const Peer& peer) const;
+  // Where crossing zones has a price the members of the own zone make up the first half of the order.
+  double orderOf(const Peer& peer) const {
+    return settings_.crossingCosts ? (peer.order + double(peer.info.zone != settings_.zone)) / 2 : peer.order;
+  }
   Micros coldSince(const Peer& peer) const {
     return peer.lost ? now_ : std::max(peer.info.launched, peer.returnedAt);
   }
@@ -173,6 +180,9 @@
   bool vouched(const Peer& peer, const Job& job) const;
   // Guards reads while a primary hands over: it refuses writes, and its reads go on saying that it leads.
   bool denied(const Peer& peer) const { return now_ - peer.deniedAt < smallestBound_; }
+  // Whether a read may go by a told lag. A wrong guess must do no harm, and each answer must put it right.
+  bool lagIsEnough() const { return settings_.guard == Guard::Wait && settings_.answersTellPosition; }
+  bool covers(const Peer& peer, Position need) const;
   Micros silence() const { return std::max(settings_.connectTimeout, kBlockLeast); }
   // Guards drains that a list not confirmed for long may have missed: the member's own word stands in for it.
   bool unsure(const Peer& peer) const {
@@ -186,18 +196,21 @@
   bool takesPacks(const Peer& peer) const {
     return peer.ready && !peer.doubted && !blocked(peer) && (peer.longReads == 0 || now_ < peer.progressDue);
   }
-  Micros progressDue(std::size_t i) const { return now_ + part(kPackTimeout, Micros(latencies_[i].value)); }
+  Micros progressDue(std::size_t i) const {
+    const double usual = kPackTimeout * latencies_[i].value;
+    return now_ + (usual > 0 ? static_cast<Micros>(usual) : settings_.classes[i].aim);
+  }
   // Guards against ghosts: one that nothing but the list vouches for and that failed gets probes only.
   bool ghost(const Peer& peer) const { return peer.strikes > 0 && peer.doubted; }
   double limitOf(const Peer& peer) const { return peer.strikes > 0 ? std::min(1.0, peer.limit) : peer.limit; }
-  bool paced(const Peer& peer, const Job& job) const;
   bool roomAt(const Peer& peer, double load, Job& job) const;
   bool jammed(const Record& record, const Job& job) const;
   double usualOf(const Job& job) const;
+  // A share of one request, or of the router's part where all share fewer than one each.
+  double limitLeast() const { return kLimitLeast * std::min(1.0, kLimitStart / settings_.drivers); }
   double firstLimit() const { return std::max(1.0, kLimitStart / settings_.drivers); }
   Micros fallWindow() const { return std::max(settings_.fallWindow, kMillisecond); }
   Micros askWithin() const { return std::max(settings_.askWithin, kSecond); }  // never a tight loop
-  double priorityOf(const Job& job) const;                                     // worth per work
 
   const ClassSettings& classOf(const Job& job) const { return settings_.classes[job.request.classIndex]; }
   Group& groupOf(GroupId id);
@@ -226,6 +239,7 @@
   double allWork_ = 0, ledWork_ = 0;  // sent lately, and of that to primaries
   Micros slowConnectAt_ = kNever;     // when one last failed slowly
   Micros scarceAt_ = kNever;          // when connections were last known to be scarce
+  Mean aims_;                         // of what arrives
   Mean mean_;                         // latency of all answers
   Mean warmMean_;                     // what it would have been of warm members
   Mean warmTaken_;  // the work that a warm member answers for this router in the contract's window
@@ -402,6 +416,7 @@
 // Asks who leads, one after the other until one does, the one with most of the log first: it takes over where
 // the primary is lost. While nobody leads only that one is asked again, and all from time to time.
 void Logic::Impl::seek(Group& group) {
+  if (!settings_.probesTellRole) return;
   const bool due = now_ - group.soughtAt >= kSeekEvery;
   Peer* next = nullptr;
   for (const MemberId id : group.members) {
@@ -409,8 +424,8 @@
     const bool open = peer.probing && now_ - peer.probedAt < kSeekWait;
     // It is about to tell whether it leads, or, of the one that did, whether it lives.
     if ((open && peer.probedAt >= group.soughtAt) || (peer.probing && ledLast(peer, group))) return;
-    if (!peer.ready || blocked(peer) || unwilling(peer)) continue;
-    if (!due && peer.probedAt >= group.soughtAt) continue;
+    const bool asked = !due && peer.probedAt >= group.soughtAt;
+    if (!peer.ready || blocked(peer) || unwilling(peer) || asked) continue;
     if (next == nullptr || std::pair(peer.position, -peer.order) > std::pair(next->position, -next->order))
       next = &peer;
   }
@@ -425,6 +440,7 @@
 
 // Keeps as many replicas known as the reads of late can use, in this router's own order.
 void Logic::Impl::probeStale(Group& group) {
+  if (!settings_.probesTellPosition || lagIsEnough()) return;
   const auto due = part(kProbeAtShare, smallestBound_);
   const auto gap = part(kProbeGapShare, due);
   double missing = group.reads.now(now_, smallestBound_) / kReadsPerKnown;
@@ -503,6 +519,11 @@
     if (refusedWrite || (ok && job.isWrite())) peer.deniedAt = refusedWrite ? now_ : kNever;
     // For a write that went through the position is its commit, which the primary holds.
     if (event.position) learnPosition(peer, *event.position);
+    // A read that was turned away for its age, where that is all that is told.
+    if (event.outcome == Outcome::Miss && !event.position && needOf(job) != kNever) {
+      peer.lag = 2 * (now_ - needOf(job));
+      peer.lagAt = now_;
+    }
   }
   learnReport(peer, event.report);
   const bool reset = event.outcome == Outcome::Reset;
@@ -567,7 +588,7 @@
   peer.easedAt = now_;
   if (unserved || event.outcome == Outcome::Error) peer.order = 0.5 * (1 + random());  // others come first
   if (unserved || (ok && late)) {
-    peer.limit = std::max(kLimitLeast, peer.limit * kLimitCut);
+    peer.limit = std::max(limitLeast(), peer.limit * kLimitCut);
   } else if (ok && peer.load * 2 >= peer.limit) {
     peer.limit = std::min(kLimitMost, peer.limit + std::min(1 / peer.limit, kLimitGrowth * peer.limit));
   }
@@ -577,8 +598,10 @@
 
 double Logic::Impl::costOf(std::size_t index) const {
   const Mean& own = latencies_[index];
-  if (own.value <= 0 || mean_.value <= 0) return 1;
-  return (own.samples * own.value / mean_.value + kCostDoubt) / (own.samples + kCostDoubt);
+  // Until answers tell, aims stand for the work: a router with a trickle learns a rare class late.
+  const double guess = aims_.value > 0 ? real(settings_.classes[index].aim) / aims_.value : 1;
+  if (own.value <= 0 || mean_.value <= 0) return guess;
+  return (own.samples * own.value / mean_.value + kCostDoubt * guess) / (own.samples + kCostDoubt);
 }
 
 // Long reads may stop the log on the replica that holds them, and nothing says which do.
@@ -635,15 +658,12 @@
   return job.luck * (record.asked + 1) < (1 - classOf(job).lateShare) * excess;
 }
 
-// Many routers with one request each are a crowd too: a limit below one spaces its requests out.
-bool Logic::Impl::paced(const Peer& peer, const Job& job) const {
-  return peer.limit >= 1 || real(now_ - peer.sent.at) >= usualOf(job) * (1 / peer.limit - 1);
-}
-
 // Whether this router may put a request on a member beside the load that it has there.
 bool Logic::Impl::roomAt(const Peer& peer, double load, Job& job) const {
+  // Many routers with one request each are a crowd too: a limit below one spaces its requests out.
+  const bool paced = peer.limit >= 1 || real(now_ - peer.sent.at) >= usualOf(job) * (1 / peer.limit - 1);
   const Hindrance found = load >= limitOf(peer)            ? Hindrance::Limit
-                          : !paced(peer, job)              ? Hindrance::Pace
+                          : !paced                         ? Hindrance::Pace
                           : !coldAllows(peer, costOf(job)) ? Hindrance::Cold
                                                            : Hindrance::None;
   if (found != Hindrance::None) job.hindrance = found;
@@ -685,7 +705,7 @@
 bool Logic::Impl::vouched(const Peer& peer, const Job& job) const {
   if (job.consistency == Consistency::Write || job.consistency == Consistency::Any) return true;
   if (job.consistency != Consistency::Bounded && (denied(peer) || quiet(peer))) return false;
-  if (!settings_.mayProbe || settings_.guard != Guard::Silent) return true;
+  if (!settings_.mayProbe || !settings_.probesTellRole || settings_.guard != Guard::Silent) return true;
   const Micros within = job.consistency == Consistency::Bounded ? classOf(job).maxAge : smallestBound_;
   return std::max(peer.toldAt, peer.listedAt) > std::max(peer.brokeAt, now_ - within);
 }
@@ -713,9 +733,12 @@
   return job.consistency == Consistency::Session ? job.token : kNever;
 }
 
-double Logic::Impl::priorityOf(const Job& job) const {
-  const ClassSettings& entry = classOf(job);
-  return entry.worth * (now_ > job.aimEnd ? entry.lateShare : 1.0) / costOf(job);
+// Whether a read may go to a replica. Its known position tells, or what it is known to lag.
+bool Logic::Impl::covers(const Peer& peer, Position need) const {
+  if (need == kNever || peer.position >= need) return true;
+  // It is as far behind as it was last told to be, until it may have caught up.
+  const Micros lag = now_ - peer.lagAt < kLagKept * peer.lag ? peer.lag : 0;
+  return lagIsEnough() && lag <= now_ - need + settings_.catchUpWait;
 }
 
 // ---- The path of a request ----
@@ -755,6 +778,7 @@
   allWork_ *= kMixKept;
   ledWork_ *= kMixKept;
   arrivals_[request.classIndex] += 1;
+  aims_.add(real(entry.aim), kClassGain);
   probeCredit_ = std::min(kProbesSaved, probeCredit_ + kProbesPerRequest);
   repeatCredit_ = std::min(kRepeatsSaved, repeatCredit_ + kRepeatsPerRequest);
   Group& group = groupOf(request.group);
@@ -807,7 +831,7 @@
   if (primary == nullptr) {
     job.hindrance = Hindrance::NoPrimary;
     seek(group);  // no guess: a server that may be stale gets no read
-    return nullptr;
+    return settings_.probesTellRole || !job.isWrite() ? nullptr : askByWrite(job, group);
   }
   if (unsure(*primary) || !vouched(*primary, job)) {
     job.hindrance = Hindrance::Probe;
@@ -837,18 +861,34 @@
   return std::max(1.0, std::ceil(longShare() * even));
 }
 
+// Where probes tell no role a write finds out who leads: any other member turns it away untouched. The one
+// that said so longest ago comes first; the write's last try is for one known to lead.
+Peer* Logic::Impl::askByWrite(Job& job, const Group& group) {
+  if (job.tries.size() + 1 >= settings_.maxAttempts) return nullptr;
+  Peer* next = nullptr;
+  for (const MemberId id : group.members) {
+    Peer& peer = peers_.at(id);
+    if (!peer.ready || blocked(peer) || ghost(peer) || now_ - peer.replicaAt < kSeekEvery) continue;
+    if (unsure(peer)) probe(peer, ProbeReason::Silent);
+    if (unsure(peer) || !roomAt(peer, peer.load, job)) continue;
+    if (next == nullptr || peer.replicaAt < next->replicaAt) next = &peer;
+  }
+  return next;
+}
+
 Peer* Logic::Impl::chooseReplica(Job& job, Group& group, const Peer* primary, std::optional<double>& crowd) {
   const Position need = needOf(job);
   const double cost = costOf(job);
   const bool packed = longRead(job.request.classIndex);
   const double waited = real(now_ - job.arrived) / real(std::max<Micros>(1, classOf(job).aim));
   const auto freshen = part(kProbeGapShare, now_ - need);
+  const bool asks = settings_.probesTellPosition && settings_.mayProbe;
+  const bool waits = settings_.catchUpWait > 0;  // members do, before they turn a read away
   const double packs = packed ? packsOf(group, primary) : 0;
   double place = 0;
   Peer* best = nullptr;
   Peer* advanced = nullptr;
-  Peer* hopeful = nullptr;  // a probe may show it current enough
-  Peer* silent = nullptr;   // one may show that it stays
+  Peer* hopeful = nullptr;  // a probe may show it current enough, or that it stays
   bool probing = false;
   double bestScore = 0;
   for (const MemberId id : group.members) {
@@ -856,26 +896,24 @@
     if (!peer.ready || &peer == primary || ghost(peer) || blocked(peer)) continue;
     if (unsure(peer)) {
       probing = probing || peer.probing;
-      if (!unwilling(peer) && (silent == nullptr || peer.order < silent->order)) silent = &peer;
+      if (!unwilling(peer) && (hopeful == nullptr || peer.order < hopeful->order)) hopeful = &peer;
       continue;
     }
     if (packed && !(takesPacks(peer) && ++place <= packs) && waited < kPackWait) {
       crowd = crowd.value_or(0);
       continue;
     }
-    const double load = packed ? peer.inFlight : peer.load;
-    const bool room = roomAt(peer, load, job);
-    if (need != kNever && peer.position < need) {
+    const bool room = roomAt(peer, packed ? peer.inFlight : peer.load, job);
+    if (!covers(peer, need)) {
       probing = probing || peer.probing;
       // In an order of its own, so that not all routers ask, and then crowd, the same one.
       // One that lagged too far may have caught up since, at half the speed of time.
       const bool near = peer.lag - (now_ - peer.lagAt) / 2 <= now_ - need;
       const bool first = hopeful == nullptr || peer.order < hopeful->order;
-      const bool due = now_ - peer.probedAt >= freshen && !unwilling(peer);
-      if (room && near && due && first) hopeful = &peer;
+      if (room && near && first && now_ - peer.probedAt >= freshen && !unwilling(peer)) hopeful = &peer;
       const bool tried =
           std::any_of(job.tries.begin(), job.tries.end(), [&](const Try& t) { return t.member == id; });
-      const bool hopeless = peer.lag > now_ - need && now_ - peer.lagAt < now_ - need;
+      const bool hopeless = waits ? !near : peer.lag > now_ - need && now_ - peer.lagAt < now_ - need;
       if (room && !tried && !hopeless && (advanced == nullptr || peer.position > advanced->position))
         advanced = &peer;
       continue;
@@ -884,7 +922,7 @@
       crowd = std::max(crowd.value_or(0), limitOf(peer));
       continue;
     }
-    const double work = peer.load / warmthOf(peer) + cost + kOwnOrder * peer.order;
+    const double work = peer.load / warmthOf(peer) + cost + kOwnOrder * orderOf(peer);
     double score = work * slownessOf(peer) * (1 + kJitter * random());
     if (peer.doubted) score *= kTriedPenalty;
     for (const Try& attempt : job.tries) score *= attempt.member == id ? kTriedPenalty : 1;
@@ -893,17 +931,18 @@
       bestScore = score;
     }
   }
-  if (best != nullptr) return best;
-  if (crowd) return nullptr;
+  if (best != nullptr || crowd) return best;
   // Members that check reads themselves turn away what they are too far behind for, so the guess is safe.
-  if (settings_.guard != Guard::Silent && advanced != nullptr && advanced->position != kNever)
-    return advanced;
+  // Where they wait before they do, a probe is asked first.
+  const bool askFirst = asks && waits && waited < kProbeWaitShare;
+  const bool guess = settings_.guard != Guard::Silent && !(askFirst && (probing || hopeful != nullptr));
+  if (guess && advanced != nullptr && advanced->position != kNever) return advanced;
   // An idle primary takes it, while primaries have less than their even part of this router's work.
   const bool spare = ledWork_ * static_cast<double>(group.members.size()) < allWork_;
   if (spare && primary != nullptr && primary->load < kSpareShare * limitOf(*primary)) return nullptr;
   // A short wait for a probe spares the primary a read. Without a primary positions stand still.
-  if (hopeful != nullptr && !probing && primary != nullptr) probing = probe(*hopeful, ProbeReason::Need);
-  if (silent != nullptr && !probing) probing = probe(*silent, ProbeReason::Silent);
+  if (hopeful != nullptr && !probing && (unsure(*hopeful) || (asks && primary != nullptr)))
+    probing = probe(*hopeful, unsure(*hopeful) ? ProbeReason::Silent : ProbeReason::Need);
   if (probing && waited < kProbeWaitShare) {
     crowd = spare ? 0 : kLimitMost;
     job.hindrance = Hindrance::Probe;
@@ -969,7 +1008,8 @@
       }
       if (line.empty()) continue;
       Job& job = jobs_.at(line.back());
-      const double priority = priorityOf(job);
+      const ClassSettings& entry = classOf(job);
+      const double priority = entry.worth * (now_ > job.aimEnd ? entry.lateShare : 1.0) / costOf(job);
       if (best != nullptr && priority <= bestPriority) continue;
       best = &job;
       bestSlot = slot;
