Tests look at resident memory only where no sanitizer holds its own beside it

Under the address sanitizer the built program holds 74 to 139 MB, nearly all the sanitizer's; the five tests that look at resident memory failed there for nothing else. In every other build the bound of 32 MB stands as it was.

--- a/src/standins/process_status.h
+++ b/src/standins/process_status.h
@@ -21,6 +21,13 @@
   return 0;
 }
 
+// Whether resident memory is the program's own: the address sanitizer holds several times as much beside it.
+#ifdef __SANITIZE_ADDRESS__
+inline constexpr bool kResidentIsOwn = false;
+#else
+inline constexpr bool kResidentIsOwn = true;
+#endif
+
 // Bytes of memory that it holds at present.
 inline std::size_t residentOf(pid_t process) { return statusOf(process, "VmRSS") * 1024; }
 
--- a/tests/idle_crowd_test.cpp
+++ b/tests/idle_crowd_test.cpp
@@ -97,7 +97,9 @@
   for (int round = 0; round < 5; ++round) {
     EXPECT_EQ(site.served(good), kGood) << "round " << round;
     EXPECT_LE(descriptorsOf(site.process->pid()), kSockets);
-    EXPECT_LT(residentOf(site.process->pid()), kMemoryMb * 1'000'000);
+    if (kResidentIsOwn) {
+      EXPECT_LT(residentOf(site.process->pid()), kMemoryMb * 1'000'000);
+    }
   }
   for (auto& client : good) EXPECT_FALSE(client.ended()) << "it keeps its place";
   // Discovery is back, with another leader: the list comes through, and so does a connection to a new member.
--- a/tests/large_list_test.cpp
+++ b/tests/large_list_test.cpp
@@ -117,7 +117,9 @@
     client.ask(request("save", "by-changes" + std::to_string(i)));
     ASSERT_TRUE(client.answered());
     EXPECT_EQ(client.value(), "from " + leads.address());
-    EXPECT_LT(residentOf(process.pid()), kMemoryMb * 1'000'000);
+    if (kResidentIsOwn) {
+      EXPECT_LT(residentOf(process.pid()), kMemoryMb * 1'000'000);
+    }
   }
 
   // Requests to every group: none but the first can be reached, and each has its answer.
@@ -145,7 +147,9 @@
     EXPECT_EQ(client.types(), "TDCZ");
   }
   EXPECT_GT(statusOf(process.pid(), "VmHWM"), 0U);
-  EXPECT_LT(statusOf(process.pid(), "VmHWM") * 1024, kMemoryMb * 1'000'000) << "at its highest";
+  if (kResidentIsOwn) {
+    EXPECT_LT(statusOf(process.pid(), "VmHWM") * 1024, kMemoryMb * 1'000'000) << "at its highest";
+  }
   EXPECT_EQ(statusOf(process.pid(), "Threads"), 1U);
   EXPECT_FALSE(process.says("can't be read")) << process.log();
 }
