--- a/src/routing/client_listener.cpp
+++ b/src/routing/client_listener.cpp
@@ -64,7 +64,7 @@
 bool ClientListener::acceptAll() {
   for (int i = 0; i < kAcceptsPerTurn && listener_; ++i) {
     // Guards requests that stand behind a connection: they wait in the queue rather than be cut off unread.
-    if (!budget_.clientMayBeToldOff() && !makeRoom() && !budget_.clientMayBeToldOff()) {
+    if (!budget_.clientMayBeRefused() && !makeRoom() && !budget_.clientMayBeRefused()) {
       retry_.arm(loop_.now() + kRetryAccept);
       return false;
     }
@@ -77,7 +77,7 @@
     observer_.note(Topic::Limits,
                    "a client can't be taken in at present: error " + std::to_string(opened.error));
     // An idle connection to a member goes before a client does.
-    if ((opened.error == EMFILE || opened.error == ENFILE) && pool_.spareOne()) continue;
+    if ((opened.error == EMFILE || opened.error == ENFILE) && pool_.closeLongestIdle()) continue;
     retry_.arm(loop_.now() + kRetryAccept);
     return false;
   }
--- a/src/routing/descriptor_budget.h
+++ b/src/routing/descriptor_budget.h
@@ -19,9 +19,10 @@
       : limit_(std::max(limit, 2 * (kReserved + kTurnedAwayAtOnce)) - kReserved - kTurnedAwayAtOnce),
         counters_(counters) {}
 
-  // Clients get half: each of their requests needs a connection to a member as well.
+  // Clients get half of all descriptors: each of their requests needs a connection to a member as well.
   bool clientFits() const { return clients_ < limit_ / 2; }
-  bool clientMayBeToldOff() const { return clients_ < limit_ / 2 + kTurnedAwayAtOnce; }
+  // Whether one more may still be taken in to be told that there is no place for it.
+  bool clientMayBeRefused() const { return clients_ < limit_ / 2 + kTurnedAwayAtOnce; }
   // They hold so much of the third that fronts count on that new ones might soon find no place. Those that
   // only linger give theirs as soon as it is wanted.
   bool clientsCrowd() const { return clients_ - lingering_ > limit_ / 4; }
--- a/src/routing/member_pool.cpp
+++ b/src/routing/member_pool.cpp
@@ -44,7 +44,7 @@
   const auto found = places_.find(member);
   if (found == places_.end()) return 0;
   const auto at = std::find_if(found->second.begin(), found->second.end(),
-                               [](const Door& door) { return door.endpoint.has_value(); });
+                               [](const Route& route) { return route.endpoint.has_value(); });
   return at == found->second.end() ? 0 : static_cast<std::size_t>(at - found->second.begin());
 }
 
@@ -52,10 +52,10 @@
                                       MemberConnection*& connection, bool onNewOne) {
   const auto found = places_.find(member);
   if (found == places_.end() || protocol >= found->second.size()) return Started::Unreachable;
-  Door& door = found->second[protocol];
-  if (!door.endpoint) return Started::Unreachable;
-  while (!onNewOne && !door.idle.empty()) {
-    MemberConnection* idle = door.idle.back()->second;
+  Route& route = found->second[protocol];
+  if (!route.endpoint) return Started::Unreachable;
+  while (!onNewOne && !route.idle.empty()) {
+    MemberConnection* idle = route.idle.back()->second;
     if (!idle->fresh()) {
       // Closed by the member, or it holds bytes that would be taken for an answer.
       ++observer_.counters.connectionsStale;
@@ -69,11 +69,11 @@
     idle->begin(exchange);
     return Started::Yes;
   }
-  if (!budget_.memberFits() && !spareOne()) return Started::NoRoom;
+  if (!budget_.memberFits() && !closeLongestIdle()) return Started::NoRoom;
   auto opened = std::make_unique<MemberConnection>(loop_, static_cast<MemberConnectionOwner&>(*this), member,
                                                    protocol, protocols_[protocol]->towardsMember());
   int error = 0;
-  if (!opened->connect(*door.endpoint, times_.connectLimit, error)) {
+  if (!opened->connect(*route.endpoint, times_.connectLimit, error)) {
     ++observer_.counters.connectionsFailed;
     return error == EMFILE || error == ENFILE ? Started::NoRoom : Started::Unreachable;
   }
@@ -88,41 +88,41 @@
 void MemberPool::closeIdle(MemberId member, Micros idleSince) {
   const auto found = places_.find(member);
   if (found == places_.end()) return;
-  for (Door& door : found->second) closeIdle(door, idleSince);
+  for (Route& route : found->second) closeIdle(route, idleSince);
 }
 
-void MemberPool::closeIdle(Door& door, Micros idleSince) {
-  while (!door.idle.empty() && door.idle.front()->first <= idleSince) {
+void MemberPool::closeIdle(Route& route, Micros idleSince) {
+  while (!route.idle.empty() && route.idle.front()->first <= idleSince) {
     ++observer_.counters.connectionsRetired;
-    door.idle.front()->second->close();
+    route.idle.front()->second->close();
   }
 }
 
-bool MemberPool::spareOne() {
+bool MemberPool::closeLongestIdle() {
   if (idle_.empty()) return false;
   ++observer_.counters.connectionsSpared;
   idle_.front().second->close();
   return true;
 }
 
-MemberPool::Door* MemberPool::doorOf(const MemberConnection& connection) {
+MemberPool::Route* MemberPool::routeOf(const MemberConnection& connection) {
   const auto found = places_.find(connection.member());
   return found == places_.end() ? nullptr : &found->second[connection.protocol()];
 }
 
 void MemberPool::onIdle(MemberConnection& connection) {
-  Door* door = doorOf(connection);
+  Route* route = routeOf(connection);
   // Its member has moved, or is known no more.
-  if (door == nullptr || door->endpoint != connection.endpoint()) return connection.close();
+  if (route == nullptr || route->endpoint != connection.endpoint()) return connection.close();
   idle_.emplace_back(loop_.now(), &connection);
-  door->idle.push_back(std::prev(idle_.end()));
+  route->idle.push_back(std::prev(idle_.end()));
   if (!retirement_.armed()) retirement_.arm(loop_.now() + keepIdle_);
 }
 
 void MemberPool::removeIdle(MemberConnection& connection) {
-  Door* door = doorOf(connection);
-  if (door == nullptr) return;
-  auto& idle = door->idle;
+  Route* route = routeOf(connection);
+  if (route == nullptr) return;
+  auto& idle = route->idle;
   const auto at = std::find_if(idle.rbegin(), idle.rend(),
                                [&](const auto& entry) { return entry->second == &connection; });
   if (at == idle.rend()) return;
--- a/src/routing/member_pool.h
+++ b/src/routing/member_pool.h
@@ -45,15 +45,15 @@
   // Closes the idle connections to a member that have been so since that time or before.
   void closeIdle(MemberId member, Micros idleSince = std::numeric_limits<Micros>::max());
   // Closes the connection that has been idle longest; false when there is none.
-  bool spareOne();
+  bool closeLongestIdle();
 
  private:
   using IdleList = std::list<std::pair<Micros, MemberConnection*>>;  // the longest idle first
-  struct Door {                                                      // of one protocol
+  struct Route {                                                     // of one protocol
     std::optional<transport::Endpoint> endpoint;
     std::vector<IdleList::iterator> idle;  // the newest last
   };
-  using Place = std::vector<Door>;
+  using Place = std::vector<Route>;
   struct Opened {
     std::unique_ptr<MemberConnection> connection;
     sparing::Carried carried;
@@ -63,8 +63,8 @@
   void onDone(MemberConnection& connection, bool unasked) override;
   void onProtocolError(MemberConnection& connection) override;
   void onConnectFailed(MemberConnection& connection) override;
-  Door* doorOf(const MemberConnection& connection);
-  void closeIdle(Door& door, Micros idleSince);
+  Route* routeOf(const MemberConnection& connection);
+  void closeIdle(Route& route, Micros idleSince);
   void removeIdle(MemberConnection& connection);
   void retireOld();
 
