Scale runs: drivers, members, changes, clients and faults at rising sizes

'heathflow-rig scale' plays a plan: hollow drivers (the program's own gateways, whole, on one loop) beside real ones, list calls and bytes counted, slopes fitted with their residual, faults; bounded in time, memory and descriptors.

A fault of the rig came up: StreamLink::change moved the start of its schedule, but not the times noted by the old start (Half::last and held bytes), so that a healed path stood still for as long as it had stood before. DatagramLink::change has the same pattern and is left.

--- /dev/null
+++ b/src/rig/client_crowd.cpp
@@ -0,0 +1,97 @@
+#include "rig/client_crowd.h"
+
+#include <algorithm>
+
+#include "standins/gateway_rig.h"
+#include "standins/pg_bytes.h"
+
+namespace heathflow::rig {
+namespace {
+
+constexpr transport::Stream::Limits kLimits = {64 * 1024, 64 * 1024};
+constexpr const char* kClass = "any";
+
+}  // namespace
+
+struct ClientCrowd::Client final : transport::StreamOwner {
+  explicit Client(ClientCrowd& all) : crowd(all), stream(all.loop_, *this, kLimits) {}
+
+  void onOpen() override { say(test::pg::startup()); }
+  void onInput() override {
+    got += stream.input().view();
+    stream.input().consume(stream.input().size());
+    for (const auto& message : test::pg::cut(got)) take(message);
+  }
+  void onEnd(transport::StreamEnd) override { ended = true; }
+  void take(const test::pg::Message& message) {
+    if (message.type == 'E' && asking) ++crowd.failed_;
+    if (message.type != 'Z') return;
+    if (!greeted) {
+      greeted = true;
+      return crowd.ask(*this);
+    }
+    known = true;
+    if (!asking) return;
+    ++crowd.answered_;
+    asking = false;
+    crowd.askNext(*this);
+  }
+  void say(std::string_view bytes) {
+    stream.output().append(bytes);
+    stream.flush();
+  }
+
+  ClientCrowd& crowd;
+  transport::Stream stream;
+  std::string got;
+  bool greeted = false;
+  bool known = false;  // it has asked once: a driver closes those that never do
+  bool asking = false;
+  bool ended = false;
+};
+
+ClientCrowd::ClientCrowd(transport::EventLoop& loop, const transport::Endpoint& driver)
+    : loop_(loop), driver_(driver) {}
+
+ClientCrowd::~ClientCrowd() = default;
+
+void ClientCrowd::grow(std::size_t to) {
+  while (clients_.size() < to) {
+    clients_.push_back(std::make_unique<Client>(*this));
+    int error = 0;
+    if (!clients_.back()->stream.connect(driver_, error)) clients_.back()->ended = true;
+  }
+}
+
+std::size_t ClientCrowd::settled() const {
+  return static_cast<std::size_t>(std::count_if(
+      clients_.begin(), clients_.end(), [](const auto& client) { return client->known || client->ended; }));
+}
+
+std::size_t ClientCrowd::held() const {
+  return static_cast<std::size_t>(std::count_if(
+      clients_.begin(), clients_.end(), [](const auto& client) { return client->known && !client->ended; }));
+}
+
+void ClientCrowd::ask(std::size_t asking, std::size_t statements) {
+  left_ = statements;
+  for (const auto& client : clients_) {
+    if (asking == 0) return;
+    if (!client->known || client->ended) continue;
+    --asking;
+    askNext(*client);
+  }
+}
+
+void ClientCrowd::askNext(Client& client) {
+  if (left_ == 0) return;
+  --left_;
+  client.asking = true;
+  ask(client);
+}
+
+void ClientCrowd::ask(Client& client) {
+  client.say(test::pg::query(test::request(kClass, "r" + std::to_string(++asked_))));
+}
+
+}  // namespace heathflow::rig
--- a/src/rig/link.cpp
+++ b/src/rig/link.cpp
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <stdexcept>
 #include <utility>
 
@@ -50,6 +51,13 @@
   void onInput() override;
   void onEnd(transport::StreamEnd how) override;
 
+  void moveBack(Micros by) {
+    last = std::max<Micros>(0, last - by);
+    for (auto& [when, bytes] : held) {
+      if (when != 0) when = std::max<Micros>(1, when - by);
+    }
+  }
+
   StreamLink& link;
   Pair& pair;
   Way way;  // in which its bytes go
@@ -135,7 +143,13 @@
 
 StreamLink::~StreamLink() { loop_.unwatch(listener_.get(), *this); }
 
+// Times count from the schedule's start: those that are known move with it.
 void StreamLink::change(Weather weather) {
+  const Micros before = now();
+  for (const auto& pair : pairs_) {
+    pair->client.moveBack(before);
+    pair->server.moveBack(before);
+  }
   weather_ = std::move(weather);
   start_ = loop_.now();
   turnOfWeather();
--- /dev/null
+++ b/src/rig/list_feed.cpp
@@ -0,0 +1,126 @@
+#include "rig/list_feed.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <numeric>
+#include <set>
+#include <utility>
+
+namespace heathflow::rig {
+namespace {
+
+constexpr Micros kMicrosPerMilli = 1000;
+// Where no revision was told, and where answers with the whole list are kept.
+constexpr std::int64_t kNoRevision = -1;
+constexpr const char* kDraining = "Terminating";
+constexpr const char* kReady = "Ready";
+constexpr std::size_t kArrivalsKept = 100'000;
+
+// The number behind a name in the call's path; 'otherwise' where there is none.
+std::int64_t numberOf(const std::string& call, const std::string& name, std::int64_t otherwise) {
+  const std::size_t at = call.find(name + "=");
+  return at == std::string::npos ? otherwise : std::strtoll(call.c_str() + at + name.size() + 1, nullptr, 10);
+}
+
+}  // namespace
+
+ListFeed::ListFeed(transport::EventLoop& loop, std::vector<ListedEntry> entries)
+    : Listening(loop), entries_(std::move(entries)), arrivals_(kArrivalsKept) {}
+
+void ListFeed::change(std::size_t member) {
+  ListedEntry& entry = entries_.at(member);
+  entry.phase = entry.phase == kReady ? kDraining : kReady;
+  changed_.push_back(member);
+  ++revision_;
+  made_.clear();
+  for (auto& [line, waiting] : std::exchange(waiting_, {})) answer(*line, waiting.since);
+}
+
+std::size_t ListFeed::watching(std::int64_t since) const {
+  return static_cast<std::size_t>(std::count_if(
+      waiting_.begin(), waiting_.end(), [&](const auto& entry) { return entry.second.since >= since; }));
+}
+
+void ListFeed::goDown() {
+  waiting_.clear();
+  shut();
+}
+
+void ListFeed::comeUp() {
+  arrivals_ = Bursts(kArrivalsKept);
+  reopen();
+}
+
+void ListFeed::onLineInput(test::Line& line) {
+  if (!line.onGone) line.onGone = [this, &line] { waiting_.erase(&line); };
+  for (;;) {
+    const std::size_t end = line.got.find("\r\n\r\n");
+    if (end == std::string::npos) return;
+    traffic_.bytesIn += end + 4;
+    const std::string call = line.got.substr(0, line.got.find("\r\n"));
+    line.got.erase(0, end + 4);
+    called(line, call);
+  }
+}
+
+void ListFeed::called(test::Line& line, const std::string& call) {
+  ++traffic_.calls;
+  arrivals_.add(loop_.now());
+  if (keepsCalls) calls.push_back(call);
+  const std::int64_t since = numberOf(call, "since", kNoRevision);
+  const Micros wait = numberOf(call, "timeout_ms", 0) * kMicrosPerMilli;
+  const bool mayWait = since == revision_ && wait > kMicrosPerMilli;
+  if (mayWait) return hold(line, since, wait);
+  answer(line, since);
+}
+
+void ListFeed::hold(test::Line& line, std::int64_t since, Micros wait) {
+  Waiting& waiting = waiting_[&line];
+  waiting.since = since;
+  waiting.limit = std::make_unique<transport::Timer>(loop_, [this, &line] {
+    auto over = waiting_.extract(&line);
+    loop_.retire(std::move(over.mapped().limit));
+    answer(line, over.mapped().since);
+  });
+  waiting.limit->arm(loop_.now() + wait);
+}
+
+void ListFeed::answer(test::Line& line, std::int64_t since) {
+  const Text text = responseTo(since);
+  traffic_.bytesOut += text->size();
+  if (wantsAll(since)) {
+    ++traffic_.wholeLists;
+  } else if (since < revision_) {
+    ++traffic_.deltas;
+  }
+  line.say(*text);
+}
+
+ListFeed::Text ListFeed::responseTo(std::int64_t since) {
+  const bool whole = wantsAll(since);
+  Text& made = made_[whole ? kNoRevision : since];
+  if (made) return made;
+  std::vector<std::size_t> members;
+  if (whole) {
+    members.resize(entries_.size());
+    std::iota(members.begin(), members.end(), std::size_t{0});
+  } else {
+    const std::set<std::size_t> once(changed_.begin() + (since - kFirstRevision), changed_.end());
+    members.assign(once.begin(), once.end());
+  }
+  made = makeResponse(whole, members);
+  return made;
+}
+
+ListFeed::Text ListFeed::makeResponse(bool whole, const std::vector<std::size_t>& members) const {
+  std::vector<ListedEntry> told;
+  told.reserve(members.size());
+  for (const std::size_t member : members) told.push_back(entries_[member]);
+  const std::string body = "{\"revision\":" + std::to_string(revision_) +
+                           ",\"complete\":" + (whole ? "true" : "false") + ",\"members\":" + textOf(told) +
+                           "}";
+  return std::make_shared<const std::string>(
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
+}  // namespace heathflow::rig
--- /dev/null
+++ b/src/rig/scale.cpp
@@ -0,0 +1,382 @@
+#include "rig/scale.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "rig/client_crowd.h"
+#include "rig/gossip.h"
+#include "standins/standins.h"
+
+namespace heathflow::rig {
+namespace {
+
+constexpr Micros kMicrosPerMilli = 1000;
+constexpr Micros kMicrosPerSecond = 1'000'000;
+constexpr double kBytesPerKilobyte = 1024;
+constexpr double kBytesPerMegabyte = 1024 * 1024;
+// The longest that anything is waited for.
+constexpr Micros kWaitMost = 60 * kMicrosPerSecond;
+constexpr Micros kTurn = 20 * kMicrosPerMilli;
+constexpr Micros kLookAtMemoryEvery = 500 * kMicrosPerMilli;
+// The part of the machine's memory that a run may take: one in so many.
+constexpr std::size_t kMemoryPart = 2;
+// Until a driver's memory stands still behind what it was told.
+constexpr Micros kRest = kMicrosPerSecond;
+constexpr Micros kBurstSpan = 100 * kMicrosPerMilli;
+constexpr std::size_t kAnsweringMembers = 3;
+
+double milliseconds(Micros time) { return static_cast<double>(time) / kMicrosPerMilli; }
+double seconds(Micros time) { return static_cast<double>(time) / kMicrosPerSecond; }
+double real(std::uint64_t count) { return static_cast<double>(count); }
+std::uint64_t bytesOf(const ListFeed::Traffic& traffic) { return traffic.bytesIn + traffic.bytesOut; }
+
+Micros medianOf(std::vector<Micros> times) {
+  std::sort(times.begin(), times.end());
+  return times[times.size() / 2];
+}
+
+}  // namespace
+
+ScaleRun::ScaleRun(transport::EventLoop& loop, const ScalePlan& plan, std::string program, Hooks hooks)
+    : loop_(loop), plan_(plan), program_(std::move(program)), hooks_(std::move(hooks)) {}
+
+ScaleOutcome ScaleRun::play() {
+  if (plan_.drivers) drivers(*plan_.drivers);
+  if (plan_.members) {
+    for (const unsigned size : plan_.members->sizes) membersAt(*plan_.members, size);
+  }
+  if (plan_.changes) {
+    for (const unsigned rate : plan_.changes->sizes) changesAt(*plan_.changes, rate);
+  }
+  if (plan_.clients) clients(*plan_.clients);
+  if (plan_.gossip) gossip(*plan_.gossip);
+  if (plan_.faults) faults(*plan_.faults);
+  return std::move(outcome_);
+}
+
+// ---- Time and bounds ----
+
+bool ScaleRun::step(Micros most) {
+  loop_.turn(most);
+  if (!hooks_.goesOn()) outcome_.ended = true;
+  if (now() - memoryLookedAt_ > kLookAtMemoryEvery) {
+    memoryLookedAt_ = now();
+    std::size_t resident = usageOf(::getpid()).resident;
+    for (const pid_t process : processes_) resident += usageOf(process).resident;
+    if (resident > machineMemory() / kMemoryPart)
+      outcome_.problems.push_back("more than half of the machine's memory was taken");
+  }
+  return !over();
+}
+
+bool ScaleRun::wait(const std::string& what, const std::function<bool()>& condition) {
+  const Micros until = now() + kWaitMost;
+  while (!over() && !condition()) {
+    if (!step(kTurn)) return false;
+    if (now() > until)
+      outcome_.problems.push_back(what + ": not within " + std::to_string(kWaitMost / kMicrosPerSecond) +
+                                  " s");
+  }
+  return !over();
+}
+
+bool ScaleRun::pass(Micros span) {
+  const Micros until = now() + span;
+  while (!over() && now() < until) {
+    if (!step(std::min(kTurn, until - now()))) return false;
+  }
+  return !over();
+}
+
+void ScaleRun::begin(const std::string& name) {
+  processes_.clear();
+  if (hooks_.onProgress) hooks_.onProgress(name);
+}
+
+// ---- Drivers ----
+
+FleetPlan ScaleRun::fleetOf(unsigned drivers, unsigned real) const {
+  FleetPlan out;
+  out.real = real;
+  out.hollow = drivers - real;
+  out.askWithin = plan_.askWithin;
+  out.program = program_;
+  return out;
+}
+
+bool ScaleRun::waitUpToDate(DriverFleet& fleet, std::size_t drivers) {
+  return wait(std::to_string(drivers) + " drivers watch an up to date list",
+              [&] { return fleet.upToDate() >= drivers; });
+}
+
+bool ScaleRun::startFleet(DriverFleet& fleet) {
+  fleet.start();
+  for (const auto& driver : fleet.real()) processes_.push_back(driver->pid());
+  return waitUpToDate(fleet, fleet.size());
+}
+
+Micros ScaleRun::changeOnce(DriverFleet& fleet, std::size_t member, std::size_t drivers) {
+  const Micros at = now();
+  fleet.feed().change(member % fleet.feed().size());
+  waitUpToDate(fleet, drivers);
+  return now() - at;
+}
+
+ScaleRun::Moment ScaleRun::momentOf(DriverFleet& fleet) {
+  Moment out;
+  out.at = now();
+  out.traffic = fleet.feed().traffic();
+  for (const auto& driver : fleet.real()) out.realProcessor += usageOf(driver->pid()).processor;
+  out.rigProcessor = usageOf(::getpid()).processor;
+  return out;
+}
+
+void ScaleRun::drivers(const DriversPart& part) {
+  for (const unsigned size : part.sizes) driversAt(part, size);
+}
+
+void ScaleRun::driversAt(const DriversPart& part, unsigned size) {
+  if (over()) return;
+  begin(std::to_string(size) + " drivers, " + std::to_string(part.members) + " members");
+  DriverFleet fleet(loop_, fleetOf(size, std::min(part.real, size / 2)), listOf(part.members));
+  const Micros startedAt = now();
+  if (!startFleet(fleet)) return;
+  const auto& traffic = fleet.feed().traffic();
+  outcome_.results.add("drivers", "start_ms", size, milliseconds(now() - startedAt));
+  outcome_.results.add("drivers", "start_whole_lists", size, real(traffic.wholeLists));
+  outcome_.results.add("drivers", "start_bytes", size, real(bytesOf(traffic)));
+  quiet(part, fleet);
+  changesOneByOne(part, fleet);
+  const double resident = static_cast<double>(usageOf(::getpid()).resident);
+  outcome_.results.add("drivers", "rig_resident_mb", size, resident / kBytesPerMegabyte);
+  outcome_.results.fact("load", "drivers_" + std::to_string(size), machineLoad());
+}
+
+void ScaleRun::quiet(const DriversPart& part, DriverFleet& fleet) {
+  const Moment before = momentOf(fleet);
+  if (!pass(part.quiet)) return;
+  const Moment after = momentOf(fleet);
+  const double size = static_cast<double>(fleet.size());
+  const double span = seconds(after.at - before.at);
+  auto& results = outcome_.results;
+  results.add("drivers", "calls_per_s", size, real(after.traffic.calls - before.traffic.calls) / span);
+  results.add("drivers", "bytes_per_s", size, real(bytesOf(after.traffic) - bytesOf(before.traffic)) / span);
+  const double processes = static_cast<double>(std::max<std::size_t>(1, fleet.real().size()));
+  const auto processor = static_cast<double>(after.realProcessor - before.realProcessor);
+  results.add("drivers", "real_cpu_us_per_s", size, processor / processes / span);
+}
+
+void ScaleRun::changesOneByOne(const DriversPart& part, DriverFleet& fleet) {
+  if (over()) return;
+  const Moment before = momentOf(fleet);
+  std::vector<Micros> times;
+  for (unsigned i = 0; i < part.changes && !over(); ++i) times.push_back(changeOnce(fleet, i, fleet.size()));
+  if (over()) return;
+  const Moment after = momentOf(fleet);
+  const double size = static_cast<double>(fleet.size());
+  auto& results = outcome_.results;
+  results.add("drivers", "in_force_ms_median", size, milliseconds(medianOf(times)));
+  results.add("drivers", "in_force_ms_worst", size,
+              milliseconds(*std::max_element(times.begin(), times.end())));
+  results.add("drivers", "change_deltas", size,
+              real(after.traffic.deltas - before.traffic.deltas) / part.changes);
+  results.add("drivers", "change_bytes", size,
+              real(bytesOf(after.traffic) - bytesOf(before.traffic)) / part.changes);
+}
+
+// ---- A real driver as the list and its changes grow ----
+
+void ScaleRun::membersAt(const MembersPart& part, unsigned size) {
+  if (over()) return;
+  begin(std::to_string(size) + " members, " + std::to_string(part.real) + " real drivers");
+  DriverFleet fleet(loop_, fleetOf(part.real, part.real), listOf(size));
+  if (!startFleet(fleet)) return;
+  auto& results = outcome_.results;
+  results.add("members", "whole_bytes", size, real(fleet.feed().traffic().bytesOut) / part.real);
+  const Moment before = momentOf(fleet);
+  results.add("members", "start_cpu_ms", size, milliseconds(before.realProcessor) / part.real);
+  for (unsigned i = 0; i < part.changes && !over(); ++i) changeOnce(fleet, i, part.real);
+  if (over()) return;
+  const Moment after = momentOf(fleet);
+  const double changes = static_cast<double>(part.changes) * part.real;
+  results.add("members", "change_bytes", size,
+              real(bytesOf(after.traffic) - bytesOf(before.traffic)) / changes);
+  results.add("members", "change_cpu_us", size,
+              static_cast<double>(after.realProcessor - before.realProcessor) / changes);
+  const Usage usage = usageOf(fleet.real().front()->pid());
+  results.add("members", "resident_kb", size, static_cast<double>(usage.resident) / kBytesPerKilobyte);
+  results.add("members", "resident_most_kb", size,
+              static_cast<double>(usage.residentMost) / kBytesPerKilobyte);
+  results.fact("load", "members_" + std::to_string(size), machineLoad());
+}
+
+bool ScaleRun::changeEvenly(DriverFleet& fleet, std::size_t count, Micros span) {
+  const Micros start = now();
+  for (std::size_t i = 0; i < count; ++i) {
+    const Micros due = start + static_cast<Micros>(i) * span / static_cast<Micros>(count);
+    if (!pass(due - now())) return false;
+    fleet.feed().change(i % fleet.feed().size());
+  }
+  return !over();
+}
+
+void ScaleRun::changesAt(const ChangesPart& part, unsigned rate) {
+  if (over()) return;
+  begin(std::to_string(rate) + " changes a second, " + std::to_string(part.members) + " members");
+  DriverFleet fleet(loop_, fleetOf(part.real, part.real), listOf(part.members));
+  if (!startFleet(fleet)) return;
+  const Moment before = momentOf(fleet);
+  const auto count = static_cast<std::size_t>(rate * part.lasts / kMicrosPerSecond);
+  if (!changeEvenly(fleet, count, part.lasts) || !pass(before.at + part.lasts - now())) return;
+  const Moment after = momentOf(fleet);
+  const double span = seconds(after.at - before.at) * part.real;
+  auto& results = outcome_.results;
+  results.add("changes", "calls_per_s", rate, real(after.traffic.calls - before.traffic.calls) / span);
+  results.add("changes", "bytes_per_s", rate, real(bytesOf(after.traffic) - bytesOf(before.traffic)) / span);
+  results.add("changes", "cpu_us_per_s", rate,
+              static_cast<double>(after.realProcessor - before.realProcessor) / span);
+  results.fact("load", "changes_" + std::to_string(rate), machineLoad());
+  waitUpToDate(fleet, part.real);
+}
+
+// ---- Clients ----
+
+void ScaleRun::clients(const ClientsPart& part) {
+  if (over()) return;
+  begin("clients of one real driver");
+  std::vector<std::unique_ptr<test::MemberStandIn>> members;
+  std::vector<ListedEntry> entries = listOf(kAnsweringMembers);
+  for (std::size_t i = 0; i < kAnsweringMembers; ++i) {
+    members.push_back(std::make_unique<test::MemberStandIn>(loop_));
+    members.back()->primary = entries[i].primary;
+    members.back()->keepsStatements = false;
+    entries[i].hostPort = members.back()->address();
+  }
+  DriverFleet fleet(loop_, fleetOf(1, 1), entries);
+  if (!startFleet(fleet)) return;
+  Child& driver = *fleet.real().front();
+  if (!wait("a driver serves", [&] { return driver.endpoint().has_value(); })) return;
+  ClientCrowd crowd(loop_, *driver.endpoint());
+  auto& results = outcome_.results;
+  for (const unsigned size : part.sizes) {
+    crowd.grow(size);
+    if (!wait("clients have an answer or are turned away", [&] { return crowd.settled() >= size; })) return;
+    if (!pass(kRest)) return;
+    const double resident = static_cast<double>(usageOf(driver.pid()).resident);
+    results.add("clients", "held", size, real(crowd.held()));
+    // Of connections that all stand: behind those that were let go a driver keeps some memory.
+    if (crowd.held() == size) results.add("clients", "resident_kb", size, resident / kBytesPerKilobyte);
+  }
+  begin("statements through one real driver");
+  const Moment before = momentOf(fleet);
+  crowd.ask(part.asking, part.statements);
+  if (!wait("all statements are answered", [&] { return crowd.answered() >= part.statements; })) return;
+  const Moment after = momentOf(fleet);
+  results.fact("statements", "count", real(crowd.answered()));
+  results.fact("statements", "failed", real(crowd.failed()));
+  results.fact("statements", "cpu_us",
+               static_cast<double>(after.realProcessor - before.realProcessor) / part.statements);
+  results.fact("load", "statements", machineLoad());
+}
+
+// ---- Drivers that watch each other ----
+
+void ScaleRun::gossip(const GossipPart& part) {
+  for (const unsigned size : part.sizes) {
+    if (over()) return;
+    begin(std::to_string(size) + " drivers watch each other, in virtual time");
+    const auto cost = gossipAt(size, part.lasts, [this] { return step(0); });
+    if (!cost && !over()) outcome_.problems.push_back("a death is known to all others: not in time");
+    if (!cost) return;
+    outcome_.results.add("gossip", "messages_per_s", size, cost->messagesPerSecond);
+    outcome_.results.add("gossip", "words_per_s", size, cost->wordsPerSecond);
+    outcome_.results.add("gossip", "death_known_s", size, cost->deathKnownSeconds);
+  }
+}
+
+// ---- Faults ----
+
+void ScaleRun::faults(const FaultsPart& part) {
+  if (over()) return;
+  begin("faults among " + std::to_string(part.drivers) + " drivers");
+  FleetPlan plan = fleetOf(part.drivers, std::min(part.real, part.drivers / 2));
+  plan.cuttable = true;
+  DriverFleet fleet(loop_, plan, listOf(part.members));
+  if (!startFleet(fleet)) return;
+  outcome_.results.fact("faults", "drivers", part.drivers);
+  if (!over()) restartHalf(fleet);
+  if (!over()) listAway(part, fleet);
+  if (!over()) cutSeventh(part, fleet);
+  if (!over()) burst(part, fleet);
+  outcome_.results.fact("load", "faults", machineLoad());
+}
+
+void ScaleRun::restartHalf(DriverFleet& fleet) {
+  if (hooks_.onProgress) hooks_.onProgress("half of the drivers restart");
+  const std::size_t ended = fleet.endHalf();
+  const std::size_t left = fleet.size() - ended;
+  if (!wait("the others alone watch", [&] { return fleet.feed().watching(0) <= left; })) return;
+  const Moment before = momentOf(fleet);
+  fleet.startEnded();
+  if (!waitUpToDate(fleet, fleet.size())) return;
+  const Moment after = momentOf(fleet);
+  auto& results = outcome_.results;
+  results.fact("restart_half", "drivers", real(ended));
+  results.fact("restart_half", "in_force_ms", milliseconds(after.at - before.at));
+  results.fact("restart_half", "whole_lists", real(after.traffic.wholeLists - before.traffic.wholeLists));
+  results.fact("restart_half", "bytes", real(bytesOf(after.traffic) - bytesOf(before.traffic)));
+}
+
+void ScaleRun::listAway(const FaultsPart& part, DriverFleet& fleet) {
+  if (hooks_.onProgress) hooks_.onProgress("the list service goes away and comes back");
+  fleet.feed().goDown();
+  fleet.feed().change(0);
+  if (!pass(part.lasts)) return;
+  const Moment before = momentOf(fleet);
+  fleet.feed().comeUp();
+  if (!waitUpToDate(fleet, fleet.size())) return;
+  const Moment after = momentOf(fleet);
+  auto& results = outcome_.results;
+  results.fact("list_away", "in_force_ms", milliseconds(after.at - before.at));
+  results.fact("list_away", "calls", real(after.traffic.calls - before.traffic.calls));
+  results.fact("list_away", "most_calls_in_100ms", real(fleet.feed().arrivals().mostWithin(kBurstSpan)));
+  results.fact("list_away", "whole_lists", real(after.traffic.wholeLists - before.traffic.wholeLists));
+  results.fact("list_away", "bytes", real(bytesOf(after.traffic) - bytesOf(before.traffic)));
+}
+
+void ScaleRun::cutSeventh(const FaultsPart& part, DriverFleet& fleet) {
+  if (hooks_.onProgress) hooks_.onProgress("a seventh is cut off and comes back");
+  auto& results = outcome_.results;
+  fleet.cut();
+  results.fact("cut_seventh", "drivers", real(fleet.cuttable()));
+  const Micros others = changeOnce(fleet, 1, fleet.size() - fleet.cuttable());
+  results.fact("cut_seventh", "others_in_force_ms", milliseconds(others));
+  if (!pass(part.lasts)) return;
+  const Moment before = momentOf(fleet);
+  fleet.heal();
+  if (!waitUpToDate(fleet, fleet.size())) return;
+  const Moment after = momentOf(fleet);
+  results.fact("cut_seventh", "in_force_ms", milliseconds(after.at - before.at));
+  results.fact("cut_seventh", "bytes", real(bytesOf(after.traffic) - bytesOf(before.traffic)));
+}
+
+void ScaleRun::burst(const FaultsPart& part, DriverFleet& fleet) {
+  if (hooks_.onProgress) hooks_.onProgress("a burst of changes");
+  const Moment before = momentOf(fleet);
+  if (!changeEvenly(fleet, part.burst, kMicrosPerSecond)) return;
+  const Micros last = now();
+  if (!waitUpToDate(fleet, fleet.size())) return;
+  const Moment after = momentOf(fleet);
+  auto& results = outcome_.results;
+  results.fact("burst", "changes", part.burst);
+  results.fact("burst", "in_force_ms_after_last", milliseconds(after.at - last));
+  results.fact("burst", "calls", real(after.traffic.calls - before.traffic.calls));
+  results.fact("burst", "bytes", real(bytesOf(after.traffic) - bytesOf(before.traffic)));
+  const double processes = real(std::max<std::size_t>(1, fleet.real().size()));
+  results.fact("burst", "real_cpu_us",
+               static_cast<double>(after.realProcessor - before.realProcessor) / processes);
+}
+
+}  // namespace heathflow::rig
--- /dev/null
+++ b/src/rig/scale_plan.h
@@ -0,0 +1,91 @@
+// What a scale run measures, and at which sizes. Read from XML (scenarios/scale.xsd).
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "transport/clock.h"
+#include "xml/document.h"
+
+namespace heathflow::rig {
+
+using Sizes = std::vector<unsigned>;
+
+// Drivers of one list service.
+struct DriversPart {
+  Sizes sizes;
+  unsigned members = 100;
+  unsigned real = 10;  // processes among them, at the most half; the others are hollow
+  transport::Micros quiet = 10'000'000;
+  unsigned changes = 5;  // one after the other
+};
+
+// Members in the list of real drivers.
+struct MembersPart {
+  Sizes sizes;
+  unsigned real = 2;
+  unsigned changes = 20;
+};
+
+// Changes a second.
+struct ChangesPart {
+  Sizes sizes;
+  unsigned members = 1000;
+  unsigned real = 2;
+  transport::Micros lasts = 5'000'000;
+};
+
+// Connections of clients to one real driver.
+struct ClientsPart {
+  Sizes sizes;
+  unsigned asking = 16;
+  unsigned statements = 10'000;
+};
+
+// Drivers that watch each other, in virtual time.
+struct GossipPart {
+  Sizes sizes;
+  transport::Micros lasts = 30'000'000;
+};
+
+// What befalls drivers of one list service.
+struct FaultsPart {
+  unsigned drivers = 0;
+  unsigned members = 100;
+  unsigned real = 10;
+  transport::Micros lasts = 10'000'000;
+  unsigned burst = 100;  // changes in one second
+};
+
+// A part that is not named is not run.
+struct ScalePlan {
+  std::string name;
+  transport::Micros askWithin = 10'000'000;
+  std::optional<DriversPart> drivers;
+  std::optional<MembersPart> members;
+  std::optional<ChangesPart> changes;
+  std::optional<ClientsPart> clients;
+  std::optional<GossipPart> gossip;
+  std::optional<FaultsPart> faults;
+};
+
+// What one machine can play.
+inline constexpr unsigned kDriversMost = 3'300;
+inline constexpr unsigned kMembersMost = 33'000;
+inline constexpr unsigned kChangesMost = 1'000;  // a second
+inline constexpr unsigned kClientsMost = 1'000;
+
+std::string_view scaleSchema();
+
+// Nothing where it can't be used; then 'problems' holds all that is wrong with it.
+std::optional<ScalePlan> loadScalePlan(const std::string& path, std::vector<xml::Problem>& problems);
+std::optional<ScalePlan> parseScalePlan(const std::string& path, std::string_view text,
+                                        std::vector<xml::Problem>& problems);
+
+// The most descriptors that this process needs for it at once.
+std::size_t descriptorsFor(const ScalePlan& plan);
+
+}  // namespace heathflow::rig
--- /dev/null
+++ b/src/rig/usage.h
@@ -0,0 +1,32 @@
+// What a process has used, and what the machine has for it: read from the system's own records.
+#pragma once
+
+#include <sys/types.h>
+
+#include <cstddef>
+#include <string>
+
+#include "transport/clock.h"
+
+namespace heathflow::rig {
+
+struct Usage {
+  transport::Micros processor = 0;  // of all its threads, user and system
+  std::size_t resident = 0;         // bytes, now
+  std::size_t residentMost = 0;     // bytes, at the most
+};
+
+// Of a process that lives; all 0 where there is none.
+Usage usageOf(pid_t process);
+
+// All memory of the machine, bytes.
+std::size_t machineMemory();
+// The mean number of runnable tasks over the last minute.
+double machineLoad();
+// "8 cores of MODEL, 23 GiB".
+std::string machineName();
+
+// How many more descriptors this process may open.
+std::size_t descriptorsLeft();
+
+}  // namespace heathflow::rig
--- a/src/tools/rig_main.cpp
+++ b/src/tools/rig_main.cpp
@@ -6,7 +6,9 @@
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <cstdio>
+#include <ctime>
 #include <exception>
 #include <filesystem>
 #include <fstream>
@@ -14,6 +16,8 @@
 #include <string>
 
 #include "program/signals.h"
+#include "rig/scale.h"
+#include "rig/scale_plan.h"
 #include "rig/scenario.h"
 #include "rig/site.h"
 
@@ -23,6 +27,22 @@
 
 enum ExitCode { kGood = 0, kBroken = 1, kUnusable = 2, kEnded = 3, kUsage = 64 };
 
+constexpr std::size_t kChartsInRow = 3;
+
+// Runs a script, which ends with it; false without gnuplot.
+bool runGnuplot(const std::string& script) {
+  std::string program = "gnuplot";
+  std::string argument = script;
+  char* words[] = {program.data(), argument.data(), nullptr};
+  pid_t child = -1;
+  int status = 0;
+  if (::posix_spawnp(&child, "gnuplot", nullptr, nullptr, words, environ) != 0) return false;
+  const bool good = ::waitpid(child, &status, 0) == child && WIFEXITED(status) && WEXITSTATUS(status) == 0;
+  std::error_code ignored;
+  std::filesystem::remove(script, ignored);
+  return good;
+}
+
 // A chart by gnuplot; without gnuplot the columns stay for another tool.
 bool draw(const std::string& columns, const std::string& chart, const std::string& title) {
   const std::string script = columns + ".plot";
@@ -39,16 +59,7 @@
       << columns
       << "' using 1:6 with lines lw 2 title 'connections at members', '' using 1:7 with lines "
          "lw 2 title 'calls of the list', '' using 1:5 axes x1y2 with lines title '99% (right)'\n";
-  std::string program = "gnuplot";
-  std::string argument = script;
-  char* words[] = {program.data(), argument.data(), nullptr};
-  pid_t child = -1;
-  int status = 0;
-  if (::posix_spawnp(&child, "gnuplot", nullptr, nullptr, words, environ) != 0) return false;
-  const bool good = ::waitpid(child, &status, 0) == child && WIFEXITED(status) && WEXITSTATUS(status) == 0;
-  std::error_code ignored;
-  std::filesystem::remove(script, ignored);
-  return good;
+  return runGnuplot(script);
 }
 
 void row(std::size_t number, const rig::Second& second) {
@@ -128,6 +139,75 @@
   return kGood;
 }
 
+// A chart of each series on scales by powers of ten; false without gnuplot.
+bool drawScale(const rig::ScaleResults& results, const std::string& base) {
+  const std::string script = base + ".plot";
+  std::ofstream plot(script);
+  plot << "set terminal svg size 1200,1400 dynamic background rgb 'white'\nset output '" << base
+       << ".svg'\nset multiplot layout " << (results.series().size() + kChartsInRow - 1) / kChartsInRow << ","
+       << kChartsInRow << "\nset grid\nset logscale xy\nunset key\n";
+  std::size_t index = 0;
+  for (const rig::Series& series : results.series()) {
+    const std::size_t number = index++;
+    const bool drawable = std::any_of(series.points.begin(), series.points.end(),
+                                      [](const rig::Point& point) { return point.value > 0; });
+    if (!drawable) continue;
+    plot << "set title '" << series.key() << "' noenhanced\nplot '" << base << ".dat' index " << number
+         << " using 1:2 with linespoints lw 2\n";
+  }
+  plot.close();
+  return runGnuplot(script);
+}
+
+std::string today() {
+  const std::time_t now = std::time(nullptr);
+  char out[32];
+  std::strftime(out, sizeof out, "%Y-%m-%dT%H:%M:%SZ", std::gmtime(&now));
+  return out;
+}
+
+int scale(const std::string& file, const std::string& program, const std::string& out) {
+  std::vector<xml::Problem> problems;
+  const auto plan = rig::loadScalePlan(file, problems);
+  for (const auto& problem : problems) std::fprintf(stderr, "%s\n", toText(problem).c_str());
+  if (!plan) return kUnusable;
+  raiseDescriptors();
+  const std::size_t needed = rig::descriptorsFor(*plan);
+  if (needed > rig::descriptorsLeft()) {
+    std::fprintf(stderr,
+                 "%zu descriptors are needed and %zu are left: a higher limit (ulimit -n) is expected\n",
+                 needed, rig::descriptorsLeft());
+    return kUnusable;
+  }
+  transport::EventLoop loop;
+  bool ended = false;
+  program::Signals signals(loop, [&](int signal) { ended = ended || signal == SIGINT || signal == SIGTERM; });
+  const rig::RunNote note{plan->name, today(), rig::machineName()};
+  rig::ScaleRun run(loop, *plan, program,
+                    {[&] { return !ended; },
+                     [](const std::string& step) {
+                       std::printf("%s\n", step.c_str());
+                       std::fflush(stdout);
+                     }});
+  const rig::ScaleOutcome outcome = run.play();
+  std::printf("\n%s, %s, on %s\n\n%s", note.name.c_str(), note.date.c_str(), note.machine.c_str(),
+              outcome.results.table().c_str());
+  for (const std::string& problem : outcome.problems) std::printf("NOT REACHED: %s\n", problem.c_str());
+  if (!out.empty()) {
+    std::error_code error;
+    std::filesystem::create_directories(out, error);
+    const std::string base = out + "/" + note.name;
+    std::ofstream(base + ".json") << outcome.results.json(note) << "\n";
+    std::ofstream(base + ".dat") << outcome.results.columns();
+    if (!drawScale(outcome.results, base)) std::printf("no chart, for there is no gnuplot\n");
+  }
+  if (outcome.ended) {
+    std::printf("ended early; all drivers have ended with it\n");
+    return kEnded;
+  }
+  return outcome.problems.empty() ? kGood : kBroken;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -143,6 +223,11 @@
   runs->add_option("--out", out, "A folder for results (JSON, columns, SVG)");
   runs->add_flag("--quiet", quiet, "No row for each second");
   runs->add_flag("--numbers", numbers, "One line of numbers for scripts, and nothing else");
+  CLI::App* scales =
+      app.add_subcommand("scale", "Measure what grows with the size; 1: a step was not reached");
+  scales->add_option("PLAN", file, "XML, see scenarios/scale.xml")->required();
+  scales->add_option("--program", program, "The driver")->capture_default_str();
+  scales->add_option("--out", out, "A folder for results (JSON, columns, SVG)");
   CLI::App* checks = app.add_subcommand("check", "Tell all that is wrong with a scenario");
   checks->add_option("SCENARIO", file)->required();
   try {
@@ -151,6 +236,7 @@
     return app.exit(error) == 0 ? kGood : kUsage;
   }
   try {
+    if (scales->parsed()) return scale(file, program, out);
     return runs->parsed() ? run(file, program, out, quiet, numbers) : check(file);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "%s\n", error.what());
--- /dev/null
+++ b/tests/scale_test.cpp
@@ -0,0 +1,283 @@
+// Scale runs in their small form: hollow drivers beside real ones, what they call and carry by count, and the
+// figures that come of it.
+#include "rig/scale.h"
+
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstdio>
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "standins/loopback.h"
+
+namespace heathflow::rig {
+namespace {
+
+const std::string kProgram = HEATHFLOW_PROGRAM;
+const std::string kSource = HEATHFLOW_SOURCE;
+// So that no watch ends by its own time within a test: it lasts a quarter of this.
+constexpr Micros kAskWithin = 60'000'000;
+
+FleetPlan planOf(unsigned hollow, unsigned real) {
+  FleetPlan out;
+  out.hollow = hollow;
+  out.real = real;
+  out.askWithin = kAskWithin;
+  out.program = kProgram;
+  return out;
+}
+
+bool allUpToDate(transport::EventLoop& loop, DriverFleet& fleet) {
+  return test::until(loop, [&] { return fleet.upToDate() == fleet.size(); });
+}
+
+// ---- Slopes ----
+
+TEST(Slope, FindsTheLineThatPointsLieOn) {
+  const Slope slope = fit({{10, 25}, {100, 205}, {1000, 2005}});
+  EXPECT_NEAR(slope.base, 5, 1e-6);
+  EXPECT_NEAR(slope.each, 2, 1e-6);
+  EXPECT_NEAR(slope.residual, 0, 1e-6);
+}
+
+TEST(Slope, ShowsABendInItsResidual) {
+  // As the square: no line is near all of it.
+  EXPECT_GT(fit({{10, 100}, {100, 10'000}, {1000, 1'000'000}}).residual, 0.5);
+}
+
+TEST(Slope, OfOneSizeOrOfNothingIsABaseAlone) {
+  const Slope one = fit({{10, 7}, {10, 7}});
+  EXPECT_NEAR(one.base, 7, 1e-9);
+  EXPECT_EQ(one.each, 0);
+  EXPECT_EQ(fit({{10, 0}}).base, 0);
+}
+
+// ---- Plans ----
+
+std::vector<xml::Problem> problemsOf(const std::string& parts) {
+  std::vector<xml::Problem> problems;
+  parseScalePlan("plan.xml", "<scale xmlns=\"urn:heathflow:scale:1\" name=\"made\">" + parts + "</scale>",
+                 problems);
+  return problems;
+}
+
+TEST(ScalePlan, OfThisRepositoryCanBeUsedAndReachesTheWantedSizes) {
+  std::vector<xml::Problem> problems;
+  const auto plan = loadScalePlan(kSource + "/scenarios/scale.xml", problems);
+  ASSERT_TRUE(plan) << toText(problems.at(0));
+  EXPECT_EQ(plan->drivers->sizes, (Sizes{10, 100, 1000, 3300}));
+  EXPECT_EQ(plan->members->sizes, (Sizes{100, 1000, 10'000, 33'000}));
+  EXPECT_GE(plan->changes->sizes.size(), 4U);
+  EXPECT_GE(plan->clients->sizes.size(), 4U);
+  EXPECT_EQ(plan->faults->burst, 100U);
+  EXPECT_TRUE(loadScalePlan(kSource + "/scenarios/scale-small.xml", problems));
+}
+
+TEST(ScalePlan, ThatCanNotBePlayedIsToldWithAllThatIsWrong) {
+  EXPECT_TRUE(problemsOf("<members sizes=\"10 20\"/>").empty());
+  const auto problems = problemsOf("<drivers sizes=\"10 3301\"/><members sizes=\"20 10\" real=\"0\"/>");
+  ASSERT_EQ(problems.size(), 3U);
+  EXPECT_NE(problems[0].text.find("3301"), std::string::npos);
+  EXPECT_NE(problems[1].text.find("do not rise"), std::string::npos);
+  EXPECT_NE(problems[2].text.find("at least one"), std::string::npos);
+  EXPECT_FALSE(problemsOf("<drivers sizes=\"ten\"/>").empty());
+}
+
+TEST(ScalePlan, CountsItsDescriptorsBeforeAnythingStarts) {
+  ScalePlan plan;
+  plan.drivers = DriversPart{};
+  plan.drivers->sizes = {10, 1000};
+  const std::size_t few = descriptorsFor(plan);
+  plan.drivers->sizes = {10, 2000};
+  EXPECT_EQ(descriptorsFor(plan) - few, 3000U);  // listener, watch and its other end
+}
+
+std::string outputOf(const std::string& command) {
+  std::string out;
+  FILE* pipe = ::popen((command + " 2>&1; echo status $?").c_str(), "r");
+  if (pipe == nullptr) return out;
+  std::array<char, 256> bytes;
+  while (std::fgets(bytes.data(), bytes.size(), pipe) != nullptr) out += bytes.data();
+  ::pclose(pipe);
+  return out;
+}
+
+TEST(ScalePlan, WithTooFewDescriptorsIsTurnedDownWithTheirNumber) {
+  const std::string out = outputOf("ulimit -n 300; " HEATHFLOW_RIG " scale " + kSource +
+                                   "/scenarios/scale-small.xml --program " + kProgram);
+  EXPECT_NE(out.find("descriptors are needed and "), std::string::npos) << out;
+  EXPECT_NE(out.find("status 2"), std::string::npos) << out;
+}
+
+// ---- Hollow drivers are no toy ----
+
+// The paths of all calls. A watch that ended with nothing new is called again, by the machine's pace: equal
+// calls in a row count once.
+std::vector<std::string> callsOf(ListFeed& feed) {
+  std::vector<std::string> out = feed.calls;
+  out.erase(std::unique(out.begin(), out.end()), out.end());
+  return out;
+}
+
+// One driver through the same schedule: start, changes, the service gone and back with news, a further life.
+std::vector<std::string> callsUnderTheSchedule(const FleetPlan& plan, std::uint64_t& bytesOut) {
+  transport::EventLoop loop;
+  DriverFleet fleet(loop, plan, listOf(40));
+  ListFeed& feed = fleet.feed();
+  feed.keepsCalls = true;
+  fleet.start();
+  EXPECT_TRUE(allUpToDate(loop, fleet));
+  for (std::size_t member = 0; member < 3; ++member) {
+    feed.change(member);
+    EXPECT_TRUE(allUpToDate(loop, fleet));
+  }
+  feed.goDown();
+  feed.change(7);
+  feed.comeUp();
+  EXPECT_TRUE(allUpToDate(loop, fleet));
+  EXPECT_EQ(fleet.endHalf(), 1U);
+  EXPECT_TRUE(test::until(loop, [&] { return feed.watching(0) == 0; }));
+  fleet.startEnded();
+  EXPECT_TRUE(allUpToDate(loop, fleet));
+  bytesOut = feed.traffic().bytesOut;
+  return callsOf(feed);
+}
+
+TEST(HollowDriver, CallsTheListServiceAsARealOneDoesUnderTheSameSchedule) {
+  std::uint64_t hollowBytes = 0, realBytes = 0;
+  const auto hollow = callsUnderTheSchedule(planOf(1, 0), hollowBytes);
+  const auto real = callsUnderTheSchedule(planOf(0, 1), realBytes);
+  EXPECT_EQ(hollow, real);
+  EXPECT_EQ(hollowBytes, realBytes);
+  // A watch that breaks on a connection that has carried calls before is called again as it was.
+  const auto call = [](int since, int wait) {
+    return "GET /v1/endpoints?since=" + std::to_string(since) + "&timeout_ms=" + std::to_string(wait) +
+           " HTTP/1.1";
+  };
+  const std::vector<std::string> expected = {call(0, 1),       call(100, 15000), call(101, 15000),
+                                             call(102, 15000), call(103, 15000), call(104, 15000),
+                                             call(0, 1),       call(104, 15000)};
+  EXPECT_EQ(real, expected);
+}
+
+// ---- Drivers that are cut off ----
+
+TEST(DriverFleet, ThatIsHealedHearsAtOnceHoweverLongItsPathHasStood) {
+  transport::EventLoop loop(transport::Clock::byHand(transport::Clock().now()));
+  FleetPlan plan = planOf(1, 0);
+  plan.cuttable = true;
+  DriverFleet fleet(loop, plan, listOf(20));
+  const Micros start = loop.now();
+  fleet.start();
+  ASSERT_TRUE(allUpToDate(loop, fleet));
+  ASSERT_TRUE(test::until(loop, [&] { return loop.now() > start + 20'000'000 && fleet.upToDate() == 1; }));
+  fleet.cut();
+  fleet.feed().change(0);
+  EXPECT_EQ(fleet.upToDate(), 0U);
+  const Micros cutUntil = loop.now() + 1'000'000;
+  ASSERT_TRUE(test::until(loop, [&] { return loop.now() > cutUntil; }));
+  EXPECT_EQ(fleet.upToDate(), 0U);
+  const Micros healed = loop.now();
+  fleet.heal();
+  ASSERT_TRUE(allUpToDate(loop, fleet));
+  EXPECT_LE(loop.now() - healed, 100'000);  // of the loop's own clock, which only timers move
+}
+
+// ---- What is counted ----
+
+struct Counted {
+  ListFeed::Traffic start;
+  ListFeed::Traffic change;  // more with one change
+};
+
+Counted countOf(unsigned drivers, unsigned members) {
+  transport::EventLoop loop;
+  DriverFleet fleet(loop, planOf(drivers, 0), listOf(members));
+  Counted out;
+  fleet.start();
+  EXPECT_TRUE(allUpToDate(loop, fleet));
+  out.start = fleet.feed().traffic();
+  fleet.feed().change(0);
+  EXPECT_TRUE(allUpToDate(loop, fleet));
+  const ListFeed::Traffic& after = fleet.feed().traffic();
+  out.change = {after.calls - out.start.calls, after.bytesIn - out.start.bytesIn,
+                after.bytesOut - out.start.bytesOut, after.wholeLists - out.start.wholeLists,
+                after.deltas - out.start.deltas};
+  return out;
+}
+
+TEST(ScaleBounds, AStartCostsEachDriverOneWholeListAndTwoCalls) {
+  const Counted counted = countOf(6, 50);
+  EXPECT_EQ(counted.start.wholeLists, 6U);
+  EXPECT_GE(counted.start.calls, 12U);
+  EXPECT_LE(counted.start.calls, 18U);                          // one watch each may have ended meanwhile
+  EXPECT_LE(counted.start.bytesOut, 6U * 50 * 200);             // of a line of the list
+  EXPECT_LE(counted.start.bytesIn, counted.start.calls * 160);  // of a call
+}
+
+TEST(ScaleBounds, AChangeCostsEachDriverOneCallAndTheSameBytesWhateverTheListsSize) {
+  const Counted small = countOf(4, 20);
+  const Counted large = countOf(4, 400);
+  for (const Counted& counted : {small, large}) {
+    EXPECT_EQ(counted.change.deltas, 4U);
+    EXPECT_EQ(counted.change.wholeLists, 0U);
+    EXPECT_GE(counted.change.calls, 4U);
+    EXPECT_LE(counted.change.calls, 8U);
+    EXPECT_LE(counted.change.bytesOut, 4U * 400);
+  }
+  EXPECT_EQ(small.change.bytesOut, large.change.bytesOut);
+}
+
+// ---- Whole runs ----
+
+TEST(ScaleRun, InItsSmallFormReachesEveryStepAndCountsWhatItDid) {
+  std::vector<xml::Problem> problems;
+  const auto plan = loadScalePlan(kSource + "/scenarios/scale-small.xml", problems);
+  ASSERT_TRUE(plan);
+  transport::EventLoop loop;
+  ScaleRun run(loop, *plan, kProgram, {[] { return true; }, {}});
+  const ScaleOutcome outcome = run.play();
+  EXPECT_TRUE(outcome.problems.empty()) << outcome.problems.front();
+  EXPECT_FALSE(outcome.ended);
+  std::map<std::string, double> figures;
+  for (const auto& [key, value] : outcome.results.figures()) figures[key] = value;
+  EXPECT_EQ(figures.at("drivers.8.start_whole_lists"), 8);
+  EXPECT_EQ(figures.at("drivers.8.change_deltas"), 8);
+  EXPECT_NEAR(figures.at("drivers.change_deltas.each"), 1, 1e-9);
+  EXPECT_GT(figures.at("members.200.whole_bytes"), 9 * figures.at("members.20.whole_bytes"));
+  EXPECT_GT(figures.at("members.200.resident_kb"), 0);
+  EXPECT_GT(figures.at("changes.10.bytes_per_s"), figures.at("changes.1.bytes_per_s"));
+  EXPECT_EQ(figures.at("clients.8.held"), 8);
+  EXPECT_EQ(figures.at("statements.count"), 50);
+  EXPECT_EQ(figures.at("statements.failed"), 0);
+  EXPECT_GE(figures.at("gossip.20.messages_per_s"), 2);  // a probe and an answer in each period of a second
+  EXPECT_GT(figures.at("gossip.20.death_known_s"), 0);
+  EXPECT_EQ(figures.at("restart_half.whole_lists"), 4);
+  EXPECT_EQ(figures.at("cut_seventh.drivers"), 1);
+  EXPECT_GE(figures.at("list_away.calls"), 8);
+  EXPECT_GE(figures.at("burst.calls"), 8);
+  const auto document = nlohmann::json::parse(outcome.results.json({"made", "today", "here"}));
+  EXPECT_EQ(document.at("figures").at("statements.count"), 50);
+  EXPECT_NE(outcome.results.table().find("| `whole_bytes` |"), std::string::npos);
+  EXPECT_NE(outcome.results.columns().find("# members.whole_bytes\n20 "), std::string::npos);
+}
+
+TEST(ScaleRun, ThatIsToldToEndLeavesNoProcessBehind) {
+  ScalePlan plan;
+  plan.members = MembersPart{};
+  plan.members->sizes = {20, 40};
+  transport::EventLoop loop;
+  int turns = 0;
+  ScaleRun run(loop, plan, kProgram, {[&] { return ++turns < 3; }, {}});
+  EXPECT_TRUE(run.play().ended);
+  EXPECT_EQ(turns, 3);
+  EXPECT_EQ(::waitpid(-1, nullptr, WNOHANG), -1);
+  EXPECT_EQ(errno, ECHILD);
+}
+
+}  // namespace
+}  // namespace heathflow::rig
