Subsets of drivers for a group: rendezvous hashing, and what it costs at a size

Deterministic subsetting stands beside it as the rival. Scale plans have a part 'subsets', which computes balance and what moves when one driver goes; nothing runs for it.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -24,6 +24,7 @@
     sparing) echo 2 ;;
     startup) echo 1 ;;
     membership) echo 1 ;;
+    subset) echo 1 ;;
     xml) echo 1 ;;
     snapshot) echo 3 ;;
     routing) echo 3 ;;
@@ -36,7 +37,7 @@
     *) echo 0 ;;
   esac
 }
-for folder in transport protocol settings installation sparing startup membership xml snapshot fleet routing program wirehost standins rig tools; do
+for folder in transport protocol settings installation sparing startup membership subset xml snapshot fleet routing program wirehost standins rig tools; do
   own=$(layer_of "$folder")
   while IFS=: read -r file included; do
     other=${included%%/*}
--- a/src/rig/scale.cpp
+++ b/src/rig/scale.cpp
@@ -7,6 +7,7 @@
 
 #include "rig/client_crowd.h"
 #include "rig/gossip.h"
+#include "rig/subset_cost.h"
 #include "standins/standins.h"
 
 namespace heathflow::rig {
@@ -52,6 +53,7 @@
   }
   if (plan_.clients) clients(*plan_.clients);
   if (plan_.gossip) gossip(*plan_.gossip);
+  if (plan_.subsets) subsets(*plan_.subsets);
   if (plan_.faults) faults(*plan_.faults);
   return std::move(outcome_);
 }
@@ -296,6 +298,20 @@
   }
 }
 
+void ScaleRun::subsets(const SubsetsPart& part) {
+  for (const unsigned size : part.sizes) {
+    if (over() || !step(0)) return;
+    begin("subsets of " + std::to_string(size) + " drivers");
+    const SubsetCost rendezvous = rendezvousCost(size, part.each);
+    const SubsetCost dealt = dealtCost(size, part.each);
+    auto& results = outcome_.results;
+    results.add("subsets", "rendezvous_most_over_mean", size, rendezvous.mostOverMean);
+    results.add("subsets", "rendezvous_moved_share", size, rendezvous.movedShare);
+    results.add("subsets", "dealt_most_over_mean", size, dealt.mostOverMean);
+    results.add("subsets", "dealt_moved_share", size, dealt.movedShare);
+  }
+}
+
 // ---- Faults ----
 
 void ScaleRun::faults(const FaultsPart& part) {
--- a/src/rig/scale.h
+++ b/src/rig/scale.h
@@ -65,6 +65,7 @@
   void changesAt(const ChangesPart& part, unsigned rate);
   void clients(const ClientsPart& part);
   void gossip(const GossipPart& part);
+  void subsets(const SubsetsPart& part);
   void faults(const FaultsPart& part);
   void restartHalf(DriverFleet& fleet);
   void listAway(const FaultsPart& part, DriverFleet& fleet);
--- a/src/rig/scale_plan.cpp
+++ b/src/rig/scale_plan.cpp
@@ -76,6 +76,13 @@
   return out;
 }
 
+SubsetsPart readSubsets(const Node* node) {
+  SubsetsPart out;
+  out.sizes = sizesOf(node);
+  number(node, "each", out.each);
+  return out;
+}
+
 FaultsPart readFaults(const Node* node) {
   FaultsPart out;
   number(node, "drivers", out.drivers);
@@ -133,6 +140,10 @@
     checker.sizes("gossip", plan.gossip->sizes, kDriversMost);
     checker.notAlone("gossip", plan.gossip->sizes);
   }
+  if (plan.subsets) {
+    checker.sizes("subsets", plan.subsets->sizes, kDriversMost);
+    checker.notAlone("subsets", plan.subsets->sizes);
+  }
   if (plan.faults) {
     checker.atMost("faults", "a number of drivers", plan.faults->drivers, kDriversMost);
     checker.atMost("faults", "a list", plan.faults->members, kMembersMost);
@@ -161,6 +172,7 @@
     if (name == "changes") out.changes = readChanges(part);
     if (name == "clients") out.clients = readClients(part);
     if (name == "gossip") out.gossip = readGossip(part);
+    if (name == "subsets") out.subsets = readSubsets(part);
     if (name == "faults") out.faults = readFaults(part);
   }
   xml::Collector collector(path, problems);
--- a/src/rig/scale_plan.h
+++ b/src/rig/scale_plan.h
@@ -51,6 +51,12 @@
   transport::Micros lasts = 30'000'000;
 };
 
+// Drivers of which each group has so many.
+struct SubsetsPart {
+  Sizes sizes;
+  unsigned each = 20;
+};
+
 // What befalls drivers of one list service.
 struct FaultsPart {
   unsigned drivers = 0;
@@ -69,6 +75,7 @@
   std::optional<ChangesPart> changes;
   std::optional<ClientsPart> clients;
   std::optional<GossipPart> gossip;
+  std::optional<SubsetsPart> subsets;
   std::optional<FaultsPart> faults;
 };
 
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -256,6 +256,9 @@
   EXPECT_EQ(figures.at("statements.failed"), 0);
   EXPECT_GE(figures.at("gossip.20.messages_per_s"), 2);  // a probe and an answer in each period of a second
   EXPECT_GT(figures.at("gossip.20.death_known_s"), 0);
+  EXPECT_LT(figures.at("subsets.40.rendezvous_moved_share"), figures.at("subsets.40.dealt_moved_share"));
+  EXPECT_LE(figures.at("subsets.40.dealt_most_over_mean"),
+            figures.at("subsets.40.rendezvous_most_over_mean"));
   EXPECT_EQ(figures.at("restart_half.whole_lists"), 4);
   EXPECT_EQ(figures.at("cut_seventh.drivers"), 1);
   EXPECT_GE(figures.at("list_away.calls"), 8);
