--- a/src/tools/rig_main.cpp
+++ b/src/tools/rig_main.cpp
@@ -28,6 +28,7 @@
 enum ExitCode { kGood = 0, kBroken = 1, kUnusable = 2, kEnded = 3, kUsage = 64 };
 
 constexpr std::size_t kChartsInRow = 3;
+constexpr std::size_t kChartHeight = 220;
 
 // Runs a script, which ends with it; false without gnuplot.
 bool runGnuplot(const std::string& script) {
@@ -143,9 +144,10 @@
 bool drawScale(const rig::ScaleResults& results, const std::string& base) {
   const std::string script = base + ".plot";
   std::ofstream plot(script);
-  plot << "set terminal svg size 1200,1400 dynamic background rgb 'white'\nset output '" << base
-       << ".svg'\nset multiplot layout " << (results.series().size() + kChartsInRow - 1) / kChartsInRow << ","
-       << kChartsInRow << "\nset grid\nset logscale xy\nunset key\n";
+  const std::size_t rows = (results.series().size() + kChartsInRow - 1) / kChartsInRow;
+  plot << "set terminal svg size 1200," << rows * kChartHeight
+       << " dynamic background rgb 'white'\nset output '" << base << ".svg'\nset multiplot layout " << rows
+       << "," << kChartsInRow << "\nset grid\nset logscale xy\nunset key\n";
   std::size_t index = 0;
   for (const rig::Series& series : results.series()) {
     const std::size_t number = index++;
--- /dev/null
+++ b/tests/capacity_check.sh
@@ -0,0 +1,66 @@
+#!/usr/bin/env bash
+# Runs scripts/capacity-check.sh on made-up pages and runs, then on the page and the run of this repository.
+set -euo pipefail
+check=$1
+folder=$(mktemp -d)
+trap 'rm -rf "$folder"' EXIT
+cat >"$folder/run.json" <<'MADE'
+{
+ "name": "made",
+ "date": "2026-01-02T03:04:05Z",
+ "figures": {
+  "drivers.calls.each": 0.4,
+  "members.100.bytes": 18250,
+  "members.bytes.base": -12.5,
+  "members.cpu_us": 100
+ }
+}
+MADE
+
+problems=0
+# What is expected, what must be printed, and the page.
+expect() {
+  local wanted=$1 says=$2 status=0
+  printf '%s\n' "${dated-Of 2026-01-02T03:04:05Z.}" "$3" >"$folder/page.md"
+  out=$(FIGURES_LEAST=${least:-1} RUN_LEAST=${least:-1} "$check" ${fresh:+--fresh} "$folder/page.md" "$folder/run.json" 2>&1) || status=$?
+  if [[ $wanted != "$(tail -1 <<<"$out")" || $out != *"$says"* || $wanted == PASS && $status -ne 0 ||
+    $wanted == FAIL && $status -eq 0 ]]; then
+    echo "wanted: $wanted, with '$says'; status $status, it said:"
+    echo "$out"
+    problems=1
+  fi
+}
+
+expect PASS '1 figures, 1 of them' 'Calls: `3300 * drivers.calls.each` = 1,320 a second.'
+expect PASS '2 figures' '`members.100.bytes / 1024` = 17.8 KB and `(1 + 2) * members.bytes.base` = -37.5.'
+expect PASS '2 figures, 2 of them' '`fleet := 3300 * drivers.calls.each` = 1,320
+`fleet / 2 - 10` = 650'
+expect FAIL 'on the page, 1320 from the run' '`3300 * drivers.calls.each` = 1,321'
+expect FAIL 'on the page' '`members.100.bytes / 1024` = 17.9'
+expect FAIL 'on the page' '| `members.100.bytes / 1024` = 17.8 | `drivers.calls.each` = 0.5 |'
+expect FAIL 'nothing has the name drivers.call' '`drivers.call * 2` = 0.8'
+expect FAIL 'nothing has the name fleet' '`fleet * 2` = 2,640
+`fleet := 3300 * drivers.calls.each` = 1,320'
+expect FAIL 'is taken' '`drivers.calls.each := 1 * members.100.bytes` = 18250'
+expect FAIL 'can not be read' '`drivers.calls.each *` = 0.4'
+expect FAIL 'can not be read' '`drivers.calls.each 2` = 0.4'
+expect FAIL 'is not closed' '`(drivers.calls.each` = 0.4'
+expect FAIL 'divides by 0' '`drivers.calls.each / 0` = 1'
+expect FAIL 'too few' 'No figure stands here.'
+expect FAIL 'too few' '`2 * 3` = 6 rests on nothing that was measured.'
+least=2 expect FAIL 'too few' '`drivers.calls.each` = 0.4'dated='Of 2026-01-01T03:04:05Z.' expect FAIL 'does not name the time of the run' '`drivers.calls.each` = 0.4'
+
+# Another run may be off by a little where things are counted, by a factor of two where they are timed.
+fresh=1
+expect PASS '2 figures' '`3300 * drivers.calls.each` = 1,321 and `members.cpu_us / 2` = 30'
+expect FAIL 'on the page' '`3300 * drivers.calls.each` = 1,400'
+expect FAIL 'on the page' '`members.cpu_us / 2` = 20'
+expect PASS '2 figures' '`cpu := members.cpu_us * 1` = 60 and `cpu + members.100.bytes * 0` = 120'
+fresh=
+
+# The page is checked against the run that is kept with it.
+"$check" | tail -1 | grep -qx PASS || {
+  "$check" || true
+  problems=1
+}
+exit "$problems"
