--- a/bench/scale.sh
+++ b/bench/scale.sh
@@ -1,12 +1,12 @@
 #!/usr/bin/env bash
-# The scale runs behind docs/CAPACITY.md: plays scenarios/scale.xml, keeps what it measured in docs/measured/
+# The scale runs behind docs/CAPACITY.md: plays scenarios/scale/scale.xml, keeps what it measured in docs/measured/
 # (scale.json, scale.md, scale.svg), and checks the page's figures against it. The last line is PASS or FAIL. Some
 # six minutes, up to 1 GiB and 15,000 descriptors: not for CI, where the small form runs (ctest -L scale).
 #   bench/scale.sh            measures
 #   bench/scale.sh --check    only checks the page against the run that is kept, once it was edited
 set -euo pipefail
 cd "$(dirname "$0")/.."
-plan=scenarios/scale.xml
+plan=scenarios/scale/scale.xml
 out=docs/measured
 page=docs/CAPACITY.md
 verdict_title="## The page's figures against this run"
--- a/src/rig/scale_plan.h
+++ b/src/rig/scale_plan.h
@@ -1,4 +1,4 @@
-// What a scale run measures, and at which sizes. Read from XML (scenarios/scale.xsd).
+// What a scale run measures, and at which sizes. Read from XML (scenarios/scale/scale.xsd).
 #pragma once
 
 #include <cstddef>
--- a/src/tools/rig_main.cpp
+++ b/src/tools/rig_main.cpp
@@ -227,7 +227,7 @@
   runs->add_flag("--numbers", numbers, "One line of numbers for scripts, and nothing else");
   CLI::App* scales =
       app.add_subcommand("scale", "Measure what grows with the size; 1: a step was not reached");
-  scales->add_option("PLAN", file, "XML, see scenarios/scale.xml")->required();
+  scales->add_option("PLAN", file, "XML, see scenarios/scale/scale.xml")->required();
   scales->add_option("--program", program, "The driver")->capture_default_str();
   scales->add_option("--out", out, "A folder for results (JSON, columns, SVG)");
   CLI::App* checks = app.add_subcommand("check", "Tell all that is wrong with a scenario");
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -67,14 +67,14 @@
 
 TEST(ScalePlan, OfThisRepositoryCanBeUsedAndReachesTheWantedSizes) {
   std::vector<xml::Problem> problems;
-  const auto plan = loadScalePlan(kSource + "/scenarios/scale.xml", problems);
+  const auto plan = loadScalePlan(kSource + "/scenarios/scale/scale.xml", problems);
   ASSERT_TRUE(plan) << toText(problems.at(0));
   EXPECT_EQ(plan->drivers->sizes, (Sizes{10, 100, 1000, 3300}));
   EXPECT_EQ(plan->members->sizes, (Sizes{100, 1000, 10'000, 33'000}));
   EXPECT_GE(plan->changes->sizes.size(), 4U);
   EXPECT_GE(plan->clients->sizes.size(), 4U);
   EXPECT_EQ(plan->faults->burst, 100U);
-  EXPECT_TRUE(loadScalePlan(kSource + "/scenarios/scale-small.xml", problems));
+  EXPECT_TRUE(loadScalePlan(kSource + "/scenarios/scale/scale-small.xml", problems));
 }
 
 TEST(ScalePlan, ThatCanNotBePlayedIsToldWithAllThatIsWrong) {
@@ -108,7 +108,7 @@
 
 TEST(ScalePlan, WithTooFewDescriptorsIsTurnedDownWithTheirNumber) {
   const std::string out = outputOf("ulimit -n 300; " HEATHFLOW_RIG " scale " + kSource +
-                                   "/scenarios/scale-small.xml --program " + kProgram);
+                                   "/scenarios/scale/scale-small.xml --program " + kProgram);
   EXPECT_NE(out.find("descriptors are needed and "), std::string::npos) << out;
   EXPECT_NE(out.find("status 2"), std::string::npos) << out;
 }
@@ -236,7 +236,7 @@
 
 TEST(ScaleRun, InItsSmallFormReachesEveryStepAndCountsWhatItDid) {
   std::vector<xml::Problem> problems;
-  const auto plan = loadScalePlan(kSource + "/scenarios/scale-small.xml", problems);
+  const auto plan = loadScalePlan(kSource + "/scenarios/scale/scale-small.xml", problems);
   ASSERT_TRUE(plan);
   transport::EventLoop loop;
   ScaleRun run(loop, *plan, kProgram, {[] { return true; }, {}});
