--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -58,10 +58,14 @@
 
 // ---- Plans ----
 
+std::optional<ScalePlan> planWith(const std::string& parts, std::vector<xml::Problem>& problems) {
+  return parseScalePlan(
+      "plan.xml", "<scale xmlns=\"urn:heathflow:scale:1\" name=\"made\">" + parts + "</scale>", problems);
+}
+
 std::vector<xml::Problem> problemsOf(const std::string& parts) {
   std::vector<xml::Problem> problems;
-  parseScalePlan("plan.xml", "<scale xmlns=\"urn:heathflow:scale:1\" name=\"made\">" + parts + "</scale>",
-                 problems);
+  planWith(parts, problems);
   return problems;
 }
 
@@ -88,12 +92,11 @@
 }
 
 TEST(ScalePlan, CountsItsDescriptorsBeforeAnythingStarts) {
-  ScalePlan plan;
-  plan.drivers = DriversPart{};
-  plan.drivers->sizes = {10, 1000};
-  const std::size_t few = descriptorsFor(plan);
-  plan.drivers->sizes = {10, 2000};
-  EXPECT_EQ(descriptorsFor(plan) - few, 3000U);  // listener, watch and its other end
+  std::vector<xml::Problem> problems;
+  const auto few = planWith("<drivers sizes=\"10 1000\"/>", problems);
+  const auto many = planWith("<drivers sizes=\"10 2000\"/>", problems);
+  ASSERT_TRUE(few && many);
+  EXPECT_EQ(descriptorsFor(*many) - descriptorsFor(*few), 3000U);  // listener, watch and its other end
 }
 
 std::string outputOf(const std::string& command) {
@@ -270,12 +273,12 @@
 }
 
 TEST(ScaleRun, ThatIsToldToEndLeavesNoProcessBehind) {
-  ScalePlan plan;
-  plan.members = MembersPart{};
-  plan.members->sizes = {20, 40};
+  std::vector<xml::Problem> problems;
+  const auto plan = planWith("<members sizes=\"20 40\"/>", problems);
+  ASSERT_TRUE(plan);
   transport::EventLoop loop;
   int turns = 0;
-  ScaleRun run(loop, plan, kProgram, {[&] { return ++turns < 3; }, {}});
+  ScaleRun run(loop, *plan, kProgram, {[&] { return ++turns < 3; }, {}});
   EXPECT_TRUE(run.play().ended);
   EXPECT_EQ(turns, 3);
   EXPECT_EQ(::waitpid(-1, nullptr, WNOHANG), -1);
