--- a/src/rig/list_feed.cpp
+++ b/src/rig/list_feed.cpp
@@ -41,6 +41,13 @@
       waiting_.begin(), waiting_.end(), [&](const auto& entry) { return entry.second.since >= since; }));
 }
 
+Micros ListFeed::meanWait() const {
+  if (waiting_.empty()) return 0;
+  const Micros sum = std::accumulate(waiting_.begin(), waiting_.end(), Micros{0},
+                                     [](Micros so, const auto& entry) { return so + entry.second.wait; });
+  return sum / static_cast<Micros>(waiting_.size());
+}
+
 void ListFeed::goDown() {
   waiting_.clear();
   shut();
@@ -77,6 +84,7 @@
 void ListFeed::hold(test::Line& line, std::int64_t since, Micros wait) {
   Waiting& waiting = waiting_[&line];
   waiting.since = since;
+  waiting.wait = wait;
   waiting.limit = std::make_unique<transport::Timer>(loop_, [this, &line] {
     auto over = waiting_.extract(&line);
     loop_.retire(std::move(over.mapped().limit));
--- a/src/rig/list_feed.h
+++ b/src/rig/list_feed.h
@@ -37,6 +37,8 @@
   // Watches that wait and hold this revision or a newer one. A driver calls again once it has taken a list
   // in, so that these are the drivers at which it is in force.
   std::size_t watching(std::int64_t since) const;
+  // For how long the watches that wait now asked to, in the mean; 0 without one.
+  Micros meanWait() const;
   std::int64_t revision() const { return revision_; }
   std::size_t size() const { return entries_.size(); }
   const Traffic& traffic() const { return traffic_; }
@@ -54,6 +56,7 @@
  private:
   struct Waiting {
     std::int64_t since = 0;
+    Micros wait = 0;
     std::unique_ptr<transport::Timer> limit;
   };
   using Text = std::shared_ptr<const std::string>;
--- a/src/rig/scale.cpp
+++ b/src/rig/scale.cpp
@@ -157,12 +157,14 @@
 }
 
 void ScaleRun::quiet(const DriversPart& part, DriverFleet& fleet) {
+  const double watches = seconds(fleet.feed().meanWait());
   const Moment before = momentOf(fleet);
   if (!pass(part.quiet)) return;
   const Moment after = momentOf(fleet);
   const double size = static_cast<double>(fleet.size());
   const double span = seconds(after.at - before.at);
   auto& results = outcome_.results;
+  results.add("drivers", "watch_s", size, watches);
   results.add("drivers", "calls_per_s", size, real(after.traffic.calls - before.traffic.calls) / span);
   results.add("drivers", "bytes_per_s", size, real(bytesOf(after.traffic) - bytesOf(before.traffic)) / span);
   const double processes = static_cast<double>(std::max<std::size_t>(1, fleet.real().size()));
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -153,6 +153,17 @@
   return callsOf(feed);
 }
 
+TEST(ListFeed, KnowsForHowLongTheWatchesThatStandAskedToWait) {
+  transport::EventLoop loop;
+  DriverFleet fleet(loop, planOf(2, 0), listOf(20));
+  EXPECT_EQ(fleet.feed().meanWait(), 0);
+  fleet.start();
+  EXPECT_TRUE(allUpToDate(loop, fleet));
+  EXPECT_EQ(fleet.feed().meanWait(), kAskWithin / 4);
+  fleet.feed().goDown();
+  EXPECT_EQ(fleet.feed().meanWait(), 0);
+}
+
 TEST(HollowDriver, CallsTheListServiceAsARealOneDoesUnderTheSameSchedule) {
   std::uint64_t hollowBytes = 0, realBytes = 0;
   const auto hollow = callsUnderTheSchedule(planOf(1, 0), hollowBytes);
@@ -289,6 +300,8 @@
   for (const auto& [key, value] : outcome.results.figures()) figures[key] = value;
   EXPECT_EQ(figures.at("drivers.8.start_whole_lists"), 8);
   EXPECT_EQ(figures.at("drivers.8.change_deltas"), 8);
+  EXPECT_GE(figures.at("drivers.8.watch_s"), 5);  // a quarter of the plan's 20 s, and all of them
+  EXPECT_LE(figures.at("drivers.8.watch_s"), 20);
   EXPECT_NEAR(figures.at("drivers.change_deltas.each"), 1, 1e-9);
   EXPECT_GT(figures.at("members.200.whole_bytes"), 9 * figures.at("members.20.whole_bytes"));
   EXPECT_GT(figures.at("members.200.resident_kb"), 0);
