--- a/scripts/capacity-check.sh
+++ b/scripts/capacity-check.sh
@@ -9,7 +9,10 @@
 # written from, it may be off: by a factor of 2 where times or processor time go into it, which hang on the machine and
 # its load, or what is counted while changes come faster than they are taken in (several come in one answer, the more the
 # slower the machine), by a tenth where memory does, by a fiftieth where only other calls and bytes do, and a residual by
-# a tenth of a point's value. A name that nothing has, a formula that can't be read, fewer
+# a tenth of a point's value. The quiet calls and starts of drivers hang on time too: a watch waits by how fast the list
+# service answers, and a call is repeated when it is late. So, in each run, fresh or not, where the page names ask_within
+# (seconds): each driver calls between once and four times in it (a tenth aside, for calls at the span's ends), and has
+# had a whole list or more at its start; else it is a FAIL, too. A name that nothing has, a formula that can't be read, fewer
 # than FIGURES_LEAST (20) figures or fewer than RUN_LEAST (10) of them that rest on the run, or another time of the run on the page, are
 # a FAIL.
 set -euo pipefail
@@ -128,10 +131,23 @@
 # How far another run may be off, as a share.
 function loosenessOf(name) {
   if (name ~ /\.residual$/) return 0
+  if (name ~ /^drivers\.([0-9]+\.)?(calls_per_s|bytes_per_s|watch_s|start_whole_lists|start_bytes)/) return 1
   if (name ~ /_ms|_us|cpu|^load\.|^burst\.|^changes\./) return 1
   if (name ~ /resident/) return 0.1
   return 0.02
 }
+# What holds for quiet drivers and their starts whatever the times were.
+function checkDrivers(  name, part, each) {
+  line = "of the run"
+  for (name in known) {
+    if (name !~ /^drivers\.[0-9]+\./) continue
+    split(name, part, ".")
+    each = known[name] / part[2]
+    if (part[3] == "calls_per_s" && (each * known["ask_within"] < 0.9 || each * known["ask_within"] > 4.4))
+      complain(name ": a driver calls " each * known["ask_within"] " times in ask_within")
+    if (part[3] == "start_whole_lists" && each < 1) complain(name ": " each " whole lists a driver")
+  }
+}
 FILENAME == run && /^ "date": / {
   split($0, part, "\"")
   date = part[4]
@@ -162,6 +178,7 @@
   }
 }
 END {
+  if ("ask_within" in known) checkDrivers()
   print figures + 0 " figures, " on_run + 0 " of them rest on the run"
   if (figures < figures_least || on_run < run_least) {
     print "too few: " figures_least " figures and " run_least " that rest on the run are expected"
--- a/tests/capacity_check.sh
+++ b/tests/capacity_check.sh
@@ -14,6 +14,8 @@
   "members.bytes.base": -12.5,
   "members.cpu_us": 100,
   "members.bytes.residual": 0.01,
+  "drivers.100.calls_per_s": 20,
+  "drivers.100.start_whole_lists": 104,
   "burst.calls": 10000
  }
 }
@@ -52,6 +54,15 @@
 expect FAIL 'too few' '`2 * 3` = 6 rests on nothing that was measured.'
 least=2 expect FAIL 'too few' '`drivers.calls.each` = 0.4'dated='Of 2026-01-01T03:04:05Z.' expect FAIL 'does not name the time of the run' '`drivers.calls.each` = 0.4'
 
+# What holds for quiet drivers whatever the times were: a call in ask_within or up to four, a whole list or more.
+expect PASS '1 figures' '`ask_within := 10 * drivers.calls.each / 0.4` = 10'
+expect PASS '1 figures' '`ask_within := 5 * drivers.calls.each / 0.4` = 5'
+expect FAIL 'calls 0.8 times in ask_within' '`ask_within := 4 * drivers.calls.each / 0.4` = 4'
+expect FAIL 'calls 5 times in ask_within' '`ask_within := 25 * drivers.calls.each / 0.4` = 25'
+sed -i 's/"drivers.100.start_whole_lists": 104/"drivers.100.start_whole_lists": 99/' "$folder/run.json"
+expect FAIL '0.99 whole lists a driver' '`ask_within := 10 * drivers.calls.each / 0.4` = 10'
+sed -i 's/"drivers.100.start_whole_lists": 99/"drivers.100.start_whole_lists": 104/' "$folder/run.json"
+
 # Another run may be off by a little where things are counted, by a factor of two where they are timed.
 fresh=1
 expect PASS '2 figures' '`3300 * drivers.calls.each` = 1,321 and `members.cpu_us / 2` = 30'
@@ -61,6 +72,10 @@
 expect PASS '2 figures' '`members.bytes.residual` = 0.09 and `burst.calls` = 6,000'
 expect FAIL 'on the page' '`members.bytes.residual` = 0.12'
 expect FAIL 'on the page' '`burst.calls` = 4,000'
+expect PASS '2 figures' '`drivers.100.calls_per_s` = 12 and `drivers.100.start_whole_lists` = 100'
+expect FAIL 'on the page' '`drivers.100.calls_per_s` = 9'
+expect FAIL 'on the page' '`drivers.100.start_whole_lists` = 50'
+expect FAIL 'calls 0.8 times in ask_within' '`ask_within := 4 * drivers.calls.each / 0.4` = 4'
 fresh=
 expect FAIL 'on the page' '`members.bytes.residual` = 0.02'
 expect FAIL 'on the page' '`burst.calls` = 9,999'
