--- a/src/routing/discovery_watch.cpp
+++ b/src/routing/discovery_watch.cpp
@@ -158,6 +158,10 @@
     newest_ = std::move(*at);
     overdue_.erase(at);
   }
+  closeOverdue();
+}
+
+void DiscoveryWatch::closeOverdue() {
   for (auto& entry : overdue_) {
     entry->close();
     loop_.retire(std::move(entry));
@@ -170,11 +174,7 @@
   answerDue_.disarm();
   next_.disarm();
   if (newest_) overdue_.push_back(std::move(newest_));
-  for (auto& entry : overdue_) {
-    entry->close();
-    loop_.retire(std::move(entry));
-  }
-  overdue_.clear();
+  closeOverdue();
 }
 
 }  // namespace heathflow::routing
--- a/src/routing/discovery_watch.h
+++ b/src/routing/discovery_watch.h
@@ -44,6 +44,7 @@
   void leaseEnded();
   void failed(const CallProblem& problem);
   void keepOnly(DiscoveryCall& call);
+  void closeOverdue();
   void hangUp();
   void leaseChanged();
 
--- a/tests/announced_drain_test.cpp
+++ b/tests/announced_drain_test.cpp
@@ -29,6 +29,12 @@
   return rig.until([&] { return rig.loop.now() >= by; });
 }
 
+std::size_t probesAt(const GatewayRig& rig) {
+  std::size_t out = 0;
+  for (const auto& member : rig.members) out += member->probes;
+  return out;
+}
+
 // The watch ends with the service's refusal, and from then on it refuses all.
 void refuseAll(GatewayRig& rig) {
   ASSERT_TRUE(rig.until([&] { return rig.discovery.waiting != nullptr; }));
@@ -73,15 +79,13 @@
   GatewayRig rig(speaking());
   refuseAll(rig);
   ASSERT_TRUE(pass(rig, 6 * kSecond));
-  std::size_t before = 0;
-  for (const auto& member : rig.members) before += member->probes;
+  const std::size_t before = probesAt(rig);
   ClientStandIn client(rig.loop, rig.endpoint);
   for (int i = 0; i < 20; ++i) {
     client.ask(request("any", std::to_string(i)));
     ASSERT_TRUE(client.answered(static_cast<std::size_t>(i) + 1));
   }
-  std::size_t probes = 0;
-  for (const auto& member : rig.members) probes += member->probes;
+  const std::size_t probes = probesAt(rig);
   EXPECT_EQ(rig.statements().size(), 20U);
   EXPECT_EQ(rig.counters().listsExpired, 1U) << "told once, however many calls fail";
   EXPECT_GE(probes, before + 1);
@@ -129,13 +133,11 @@
   ASSERT_TRUE(pass(rig, 6 * kSecond));
   rig.discovery.fails = false;
   ASSERT_TRUE(rig.until([&] { return rig.discovery.waiting != nullptr; }));
-  std::size_t before = 0;
-  for (const auto& member : rig.members) before += member->probes;
+  const std::size_t before = probesAt(rig);
   ClientStandIn client(rig.loop, rig.endpoint);
   client.ask(request("any", "1"));
   ASSERT_TRUE(client.answered());
-  std::size_t probes = 0;
-  for (const auto& member : rig.members) probes += member->probes;
+  const std::size_t probes = probesAt(rig);
   EXPECT_EQ(probes, before);
   EXPECT_TRUE(rig.members[0]->statements.empty());
 }
--- a/tests/list_expiry_test.cpp
+++ b/tests/list_expiry_test.cpp
@@ -12,6 +12,14 @@
 
 void expire(Rig& rig) { rig.feed(ListExpired{kStayingFor}); }
 
+// All is known of the members, but too long ago to say that they stay.
+struct ExpiredRig : KnownRig {
+  ExpiredRig() {
+    pass(kStayingFor);
+    expire(*this);
+  }
+};
+
 // A member's answer to a probe that it was sent just now.
 ProbeEnded staying(MemberId member) {
   ProbeEnded out;
@@ -37,9 +45,7 @@
 }
 
 TEST(ExpiredLists, WritesWaitForThePrimarysOwnWord) {
-  KnownRig rig;
-  rig.pass(kStayingFor);
-  expire(rig);
+  ExpiredRig rig;
   std::size_t seen = rig.probes();
   const auto write = rig.ask(kUnsafeWrite);
   EXPECT_TRUE(rig.sentTo(write).empty());
@@ -49,9 +55,7 @@
 }
 
 TEST(ExpiredLists, ReadsWaitForAReplicasOwnWordAndGoToNoneThatDrains) {
-  KnownRig rig;
-  rig.pass(kStayingFor);
-  expire(rig);
+  ExpiredRig rig;
   std::size_t seen = rig.probes();
   const auto read = rig.ask(kAny);
   EXPECT_TRUE(rig.sentTo(read).empty());
@@ -67,9 +71,7 @@
 }
 
 TEST(ExpiredLists, AMembersWordLastsAsLongAsTheListsDoes) {
-  KnownRig rig;
-  rig.pass(kStayingFor);
-  expire(rig);
+  ExpiredRig rig;
   rig.feed(staying(1));
   rig.pass(kStayingFor - 2 * kMs);
   EXPECT_EQ(rig.sentTo(rig.ask(kUnsafeWrite)), Members{1});
@@ -79,17 +81,13 @@
 }
 
 TEST(ExpiredLists, TheNextListCountsAgain) {
-  KnownRig rig;
-  rig.pass(kStayingFor);
-  expire(rig);
+  ExpiredRig rig;
   rig.list({}, MembersChanged::Scope::Delta);
   EXPECT_EQ(rig.sentTo(rig.ask(kUnsafeWrite)), Members{1});
 }
 
 TEST(ExpiredLists, AFailedCallIsNoNextList) {
-  KnownRig rig;
-  rig.pass(kStayingFor);
-  expire(rig);
+  ExpiredRig rig;
   rig.list({}, MembersChanged::Scope::Failed);
   EXPECT_TRUE(rig.sentTo(rig.ask(kUnsafeWrite)).empty());
 }
