A read asked again after its primary fell: the fallen member can't serve it in the test

Which of two probes is answered first decided. Now the fallen member lags 100 s beyond any bound, so that only the new primary may serve; every expectation stays, and a read served there would be stale in truth.

--- a/tests/member_connection_test.cpp
+++ b/tests/member_connection_test.cpp
@@ -109,6 +109,7 @@
       ASSERT_TRUE(client.answered());
       rig.members[0]->answer = [&](Line& line, const std::string&) {
         rig.members[0]->primary = false;
+        rig.members[0]->lagMs = 100'000;  // and it takes no part in the log any more
         rig.members[1]->primary = true;
         rig.members[1]->lagMs = 0;
         line.say(rig.members[0]->value("stale"));
