--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -17,6 +17,7 @@
 # A layer includes its own and lower ones only. The module knows none of them.
 layer_of() {
   case $1 in
+    faultshim) echo 1 ;;
     transport) echo 1 ;;
     protocol) echo 2 ;;
     settings) echo 2 ;;
@@ -37,7 +38,7 @@
     *) echo 0 ;;
   esac
 }
-for folder in transport protocol settings installation sparing startup membership subset xml snapshot fleet routing program wirehost standins rig tools; do
+for folder in faultshim transport protocol settings installation sparing startup membership subset xml snapshot fleet routing program wirehost standins rig tools; do
   own=$(layer_of "$folder")
   while IFS=: read -r file included; do
     other=${included%%/*}
--- a/src/rig/child.cpp
+++ b/src/rig/child.cpp
@@ -21,8 +21,14 @@
 
 }  // namespace
 
-Child::Child(std::string program, const std::string& config, std::vector<std::string> arguments)
-    : program_(std::move(program)), arguments_(std::move(arguments)) {
+Environment withFaults(const std::string& library, const std::string& plan) {
+  // The address sanitizer wants to come first in the list of libraries, and works behind the shim as well.
+  return {{"LD_PRELOAD", library}, {"HEATHFLOW_FAULTS", plan}, {"ASAN_OPTIONS", "verify_asan_link_order=0"}};
+}
+
+Child::Child(std::string program, const std::string& config, std::vector<std::string> arguments,
+             Environment environment)
+    : program_(std::move(program)), arguments_(std::move(arguments)), environment_(std::move(environment)) {
   file_ = folder_.path() + "/config.json";
   configure(config);
   start();
@@ -46,6 +52,7 @@
     if (::getppid() != parent) ::_exit(127);
     ::dup2(pipe[1], STDERR_FILENO);
     ::setenv("NODE_CONFIG", file_.c_str(), 1);
+    for (const auto& [name, value] : environment_) ::setenv(name.c_str(), value.c_str(), 1);
     std::vector<char*> words = {program_.data()};
     for (std::string& argument : arguments_) words.push_back(argument.data());
     words.push_back(nullptr);
--- a/src/rig/child.h
+++ b/src/rig/child.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "standins/temporary_file.h"
@@ -24,10 +25,18 @@
   std::string text;
 };
 
+// Variables of a child beside those of the rig.
+using Environment = std::map<std::string, std::string>;
+
+// So that a program's system calls fail by a plan (faultshim/fault_plan.h): what it needs in its environment.
+// 'library': the file of heathflow_faults.
+Environment withFaults(const std::string& library, const std::string& plan);
+
 class Child {
  public:
   // Starts a program with this configuration; its folder is the child's own and ends with it.
-  Child(std::string program, const std::string& config, std::vector<std::string> arguments = {});
+  Child(std::string program, const std::string& config, std::vector<std::string> arguments = {},
+        Environment environment = {});
   ~Child();
   Child(const Child&) = delete;
   Child& operator=(const Child&) = delete;
@@ -41,6 +50,8 @@
   void resume();
   // Ends it without a word, and waits until it has gone.
   void kill();
+  // What its environment holds beside the rig's from the next start on.
+  void surround(Environment environment) { environment_ = std::move(environment); }
   // Starts it again with the file as it is; its log goes on behind what was there.
   void restart();
 
@@ -66,6 +77,7 @@
 
   std::string program_;
   std::vector<std::string> arguments_;
+  Environment environment_;
   test::TemporaryFolder folder_;
   std::string file_;
   pid_t pid_ = -1;
--- a/tests/program_process.h
+++ b/tests/program_process.h
@@ -11,8 +11,9 @@
 
 class Process : public rig::Child {
  public:
-  explicit Process(const std::string& config, std::vector<std::string> arguments = {})
-      : Child(HEATHFLOW_PROGRAM, config, std::move(arguments)) {}
+  explicit Process(const std::string& config, std::vector<std::string> arguments = {},
+                   rig::Environment environment = {})
+      : Child(HEATHFLOW_PROGRAM, config, std::move(arguments), std::move(environment)) {}
   // Once it has said where it serves.
   transport::Endpoint endpoint() { return Child::endpoint().value_or(transport::Endpoint{}); }
 };
--- /dev/null
+++ b/tests/start_retry_test.cpp
@@ -0,0 +1,79 @@
+// A start for which something is lacking for a moment, and one for which something is wrong.
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <array>
+
+#include "program_process.h"
+#include "standins/gateway_rig.h"
+
+namespace heathflow::test {
+namespace {
+
+struct StartingSite {
+  StartingSite() : discovery(loop), member(loop) {
+    member.primary = true;
+    discovery.members = "[" + entry("m0", member.address(), true) + "]";
+  }
+  std::string config() const { return configText({}, discovery.address(), discovery.members); }
+  template <typename Condition>
+  bool until(Condition&& condition) {
+    return test::until(loop, std::forward<Condition>(condition));
+  }
+  transport::EventLoop loop;
+  DiscoveryStandIn discovery;
+  MemberStandIn member;
+};
+
+rig::Environment failing(const std::string& plan) { return rig::withFaults(HEATHFLOW_FAULT_LIBRARY, plan); }
+
+// Of each kind of call that a start makes.
+constexpr std::array kMomentary = {"socket=1#2",
+                                   "create=1#2",
+                                   "watch=1#3",
+                                   "listen=1#2",
+                                   "file-open=1#1",
+                                   "file-read=1#1",
+                                   "interrupt=0.3;interrupt-io=0.3"};
+
+TEST(MomentaryLack, EndsNoStart) {
+  for (const char* plan : kMomentary) {
+    StartingSite site;
+    Process process(site.config(), {}, failing(plan));
+    ASSERT_TRUE(site.until([&] { return process.says("serves at") || process.over(); })) << plan;
+    ASSERT_FALSE(process.over()) << plan << ": " << process.log();
+    ClientStandIn client(site.loop, process.endpoint());
+    client.ask(request("any", "a"));
+    EXPECT_TRUE(client.answered()) << plan;
+    process.signal(SIGTERM);
+    ASSERT_TRUE(site.until([&] { return process.over(); })) << plan;
+    EXPECT_EQ(process.status(), 0) << plan << ": " << process.log();
+  }
+}
+
+// What can't pass is not waited for, and is called by its own name.
+TEST(WrongStart, EndsAtOnceWithItsTrueName) {
+  StartingSite site;
+  std::string config = site.config();
+  const std::string listen = "127.0.0.1:0";
+  config.replace(config.find(listen), listen.size(), "192.0.2.1:5432");
+  Process process(config);
+  ASSERT_TRUE(site.until([&] { return process.over(); }));
+  EXPECT_EQ(process.status(), 1);
+  EXPECT_TRUE(process.says("'listen'")) << process.log();
+  EXPECT_TRUE(process.says("Cannot assign requested address")) << process.log();
+  EXPECT_FALSE(process.says("is tried again")) << process.log();
+}
+
+// A lack that does not pass ends the start in time, and its name is no word on the address.
+TEST(LastingLack, EndsTheStartWithItsTrueName) {
+  StartingSite site;
+  Process process(site.config(), {}, failing("socket=1"));
+  ASSERT_TRUE(site.until([&] { return process.over(); }));
+  EXPECT_EQ(process.status(), 1);
+  EXPECT_TRUE(process.says("is tried again")) << process.log();
+  EXPECT_FALSE(process.says("holds an address that can't be had")) << process.log();
+}
+
+}  // namespace
+}  // namespace heathflow::test
