Read a socket and a signal's descriptor until they have no more, whatever a short read says

Cause: Stream::readInput took a read that left room for an emptied socket; under edge-triggered interest what it left behind was never announced. Signals::onReady ended at an interrupted read in the same way. Change: both go on until the call would block.

--- a/src/program/signals.cpp
+++ b/src/program/signals.cpp
@@ -24,8 +24,14 @@
 
 void Signals::onReady(std::uint32_t) {
   signalfd_siginfo info{};
-  while (::read(fd_.get(), &info, sizeof info) == static_cast<ssize_t>(sizeof info)) {
-    handler_(static_cast<int>(info.ssi_signo));
+  // Read until there is no more: the descriptor is announced by its edges.
+  for (;;) {
+    const ssize_t got = ::read(fd_.get(), &info, sizeof info);
+    if (got == static_cast<ssize_t>(sizeof info)) {
+      handler_(static_cast<int>(info.ssi_signo));
+    } else if (got >= 0 || errno != EINTR) {
+      return;
+    }
   }
 }
 
--- a/src/transport/stream.cpp
+++ b/src/transport/stream.cpp
@@ -106,11 +106,10 @@
     const Transfer moved = readSome(fd_.get(), room.at, room.size);
     if (moved.kind == Transfer::Kind::WouldBlock) break;
     if (moved.kind == Transfer::Kind::Done) {
+      // Read on until the socket has no more: a transfer may be short of what is there, and what a short one
+      // leaves behind is no new edge.
       input_.filled(moved.size);
       got += moved.size;
-      // A read that leaves room has emptied the socket, and a later arrival is a new edge; a close that has
-      // already been seen would not be.
-      if (moved.size < room.size && !hungUp_) break;
       continue;
     }
     over = hungUp_ = true;
