--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -19,6 +19,7 @@
   case $1 in
     faultshim) echo 1 ;;
     transport) echo 1 ;;
+    wallclock) echo 1 ;;
     protocol) echo 2 ;;
     settings) echo 2 ;;
     installation) echo 2 ;;
@@ -38,7 +39,7 @@
     *) echo 0 ;;
   esac
 }
-for folder in faultshim transport protocol settings installation sparing startup membership subset xml snapshot fleet routing program wirehost standins rig tools; do
+for folder in faultshim transport wallclock protocol settings installation sparing startup membership subset xml snapshot fleet routing program wirehost standins rig tools; do
   own=$(layer_of "$folder")
   while IFS=: read -r file included; do
     other=${included%%/*}
--- a/src/program/gateway.cpp
+++ b/src/program/gateway.cpp
@@ -215,7 +215,7 @@
   if (kept && kept->revision > known.revision) known = *kept;
   if (!installation_.snapshot.file.empty()) memory_.list = known;
   watch_.startFrom(known.revision);
-  router_.membersChanged(directory_.take(known));
+  router_.membersChanged(directory_.take(known, loop_.now(), false));
   router_.start();
   // Where lists are pushed the module asks for nothing: on sockets a push comes over a watch all the same.
   if (!config_.settings.logic.mustAsk) watch_.subscribe();
@@ -239,7 +239,7 @@
     memory_.listTrueAt = loop_.now();
     protocol::apply(list, memory_.list);
   }
-  router_.membersChanged(directory_.take(list));
+  router_.membersChanged(directory_.take(list, loop_.now(), true));
 }
 
 snapshot::Snapshot Gateway::remember() const {
--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -1,9 +1,11 @@
 #include "routing/client_session.h"
 
 #include <algorithm>
+#include <limits>
 #include <string>
 
 #include "routing/hash.h"
+#include "wallclock/positions.h"
 
 namespace heathflow::routing {
 namespace {
@@ -28,6 +30,8 @@
 constexpr std::size_t kLongestId = 128;
 // Beyond this the time that a client gives a request is no time at all.
 constexpr std::int64_t kLongestTimeoutMs = 86'400'000;
+// Beyond this a session's position is no time at all.
+constexpr std::int64_t kLatestMs = std::numeric_limits<std::int64_t>::max() / kMicrosPerMilli;
 
 }  // namespace
 
@@ -267,9 +271,8 @@
     request.session = asked.session.empty() ? 0 : std::max<std::uint64_t>(1, hashOf(asked.session));
   }
   if (asked.afterMs) {
-    // A position ahead of the clock counts as one that is written now.
-    const Micros after = std::min(*asked.afterMs, loop_.now() / kMicrosPerMilli + 1) * kMicrosPerMilli;
-    request.sinceLastWrite = std::max<Micros>(0, loop_.now() - after);
+    const Micros after = std::min(*asked.afterMs, kLatestMs) * kMicrosPerMilli;
+    request.sinceLastWrite = wallclock::ageOfToken(after, loop_.now());
   }
   return request;
 }
--- a/src/routing/directory.cpp
+++ b/src/routing/directory.cpp
@@ -32,6 +32,7 @@
   std::erase_if(byName_, [this](const auto& entry) {
     if (!entry.second.gone) return false;
     names_.erase(entry.second.id);
+    launches_.forget(entry.first);
     pool_.forget(entry.second.id);
     return true;
   });
@@ -57,8 +58,9 @@
   return places;
 }
 
-MembersChanged Directory::take(const protocol::MemberList& list) {
+MembersChanged Directory::take(const protocol::MemberList& list, transport::Micros now, bool confirmed) {
   using Phase = protocol::ListedMember::Phase;
+  launches_.beginList(now, confirmed);
   ++observer_.counters.listsTaken;
   MembersChanged event;
   event.scope = list.complete ? MembersChanged::Scope::Full : MembersChanged::Scope::Delta;
@@ -85,7 +87,7 @@
                    : listed.phase == Phase::Ready ? MemberState::Ready
                                                   : MemberState::Draining;
     member.zone = static_cast<std::uint32_t>(hashOf(listed.locality));
-    member.launched = listed.upSinceMs * kMicrosPerMilli;
+    if (!gone) member.launched = launches_.launchedAt(listed.id, listed.upSinceMs * kMicrosPerMilli);
     member.size = listed.size;
     member.leads = listed.primary;
     event.members.push_back(member);
--- a/src/routing/directory.h
+++ b/src/routing/directory.h
@@ -11,6 +11,7 @@
 #include "protocol/member_list.h"
 #include "routing/member_pool.h"
 #include "routing/observer.h"
+#include "wallclock/launch_times.h"
 
 namespace heathflow::routing {
 
@@ -28,8 +29,9 @@
   Directory(MemberPool& pool, Doors doors, std::unordered_map<GroupId, Doors> families, Observer& observer)
       : pool_(pool), doors_(std::move(doors)), families_(std::move(families)), observer_(observer) {}
 
-  // Takes in a list, whole or of changes, and gives it as the module's event.
-  MembersChanged take(const protocol::MemberList& list);
+  // Takes in a list, whole or of changes, and gives it as the module's event. 'confirmed': by the list
+  // service now; a list of an earlier life is not.
+  MembersChanged take(const protocol::MemberList& list, transport::Micros now, bool confirmed);
 
  private:
   struct Known {
@@ -47,6 +49,7 @@
   Observer& observer_;
   std::unordered_map<std::string, Known> byName_;
   std::unordered_map<MemberId, std::string> names_;
+  wallclock::LaunchTimes launches_;
 };
 
 }  // namespace heathflow::routing
--- a/src/routing/outcome.cpp
+++ b/src/routing/outcome.cpp
@@ -1,6 +1,9 @@
 #include "routing/outcome.h"
 
+#include <limits>
+
 #include "protocol/load_report.h"
+#include "wallclock/positions.h"
 
 namespace heathflow::routing {
 namespace {
@@ -8,10 +11,9 @@
 using Kind = protocol::Answer::Kind;
 
 using transport::kMicrosPerMilli;
-// PROTOCOL, Discovery: all machines read one clock. A position further ahead of it than this can't be meant.
-// Guards against one that would make a replica look current, or a member the primary, for ever.
-constexpr Micros kAheadAtMost = 1'000'000;
 constexpr std::int64_t kOne = 1'000'000;  // in the millionths of a Decimal
+// Milliseconds beyond which a position is no time at all.
+constexpr std::int64_t kLatestMs = std::numeric_limits<std::int64_t>::max() / kMicrosPerMilli;
 
 std::optional<protocol::Decimal> numberAt(const settings::ReportLayout& layout, int index,
                                           std::string_view text) {
@@ -49,7 +51,7 @@
   Report report;
   if (const auto position = numberAt(layout, layout.position, text); position && position->micros > 0) {
     // What tells of the future can't be read, and nothing beside it is believed.
-    if (position->micros > now + kAheadAtMost) return {};
+    if (!wallclock::believable(position->micros, now)) return {};
     // It may have been rounded up by as much as its last digit.
     report.position = position->micros - position->step;
   }
@@ -68,9 +70,8 @@
   if (end.cause != ExchangeEnd::Cause::Answered) return;
   const protocol::Answer& answer = *end.answer;
   if (answer.primary) event.role = *answer.primary ? Role::Primary : Role::Replica;
-  const Micros latest = now + kAheadAtMost;
-  if (answer.positionMs && *answer.positionMs <= latest / kMicrosPerMilli)
-    event.position = *answer.positionMs * kMicrosPerMilli;
+  if (answer.positionMs && *answer.positionMs <= kLatestMs)
+    event.position = wallclock::believable(*answer.positionMs * kMicrosPerMilli, now);
   event.report = readReport(settings, answer.report.of(end.bytes), now);
 }
 
--- /dev/null
+++ b/tests/launch_times_test.cpp
@@ -0,0 +1,56 @@
+// Starts of members, as lists tell them and as this process has seen them.
+#include "wallclock/launch_times.h"
+
+#include <gtest/gtest.h>
+
+#include "wallclock/positions.h"
+
+namespace heathflow::wallclock {
+namespace {
+
+constexpr Micros kSecond = 1'000'000;
+constexpr Micros kHour = 3600 * kSecond;
+constexpr Micros kStart = 1'000'000 * kSecond;
+
+// Takes in a list that names one member.
+Micros told(LaunchTimes& times, Micros now, Micros launched, bool confirmed = true) {
+  times.beginList(now, confirmed);
+  return times.launchedAt("m", launched);
+}
+
+TEST(LaunchTimes, AreTakenAsToldWhereClocksAgree) {
+  LaunchTimes times;
+  EXPECT_EQ(told(times, kStart, 0), 0);
+  EXPECT_EQ(told(times, kStart + 20 * kSecond, kStart + 19 * kSecond), kStart + 19 * kSecond);
+  EXPECT_EQ(told(times, kStart + 30 * kSecond, kStart + 19 * kSecond), kStart + 19 * kSecond);
+}
+
+// The operators' case: a wall clock is set by an hour, and the member is back cold.
+TEST(LaunchTimes, OfAMemberThatCameBackAreBoundedByWhatWasSeen) {
+  for (const Micros step : {-kHour, -10 * kSecond, kSecond, 10 * kSecond, kHour}) {
+    LaunchTimes times;
+    told(times, kStart, kStart - kHour);
+    told(times, kStart + 50 * kSecond, kStart - kHour);
+    const Micros restarted = kStart + 52 * kSecond;
+    const Micros now = kStart + 53 * kSecond;
+    const Micros launched = told(times, now, restarted + step);
+    EXPECT_GE(launched, kStart + 50 * kSecond - kLateAtMost) << step;
+    EXPECT_LE(launched, now) << step;
+    EXPECT_EQ(told(times, now + 5 * kSecond, restarted + step), launched) << "and it grows warm from there";
+  }
+}
+
+TEST(LaunchTimes, AreForgottenWithTheirMembers) {
+  LaunchTimes times;
+  told(times, kStart, kStart - kSecond);
+  times.forget("m");
+  EXPECT_EQ(times.known(), 0U);
+}
+
+TEST(Positions, OfTheFutureAreNotBelieved) {
+  EXPECT_EQ(believable(kStart + kAheadAtMost, kStart), kStart + kAheadAtMost);
+  EXPECT_EQ(believable(kStart + kAheadAtMost + 1, kStart), std::nullopt);
+}
+
+}  // namespace
+}  // namespace heathflow::wallclock
