All spans run on the steady clock; starts of members are bounded by what was seen

Cause: Clock::follow followed the wall clock forwards, so that a step of it moved every deadline, window, wait and grace. A start in a list was believed as told: a member back cold behind a clock an hour off counted as warm. Change: the wall clock gives the first reading and no more.

--- a/src/transport/clock.h
+++ b/src/transport/clock.h
@@ -1,4 +1,4 @@
-// The one source of time: Unix microseconds that never run backwards.
+// The one source of time: microseconds that pass as real time does, counted from a Unix time.
 #pragma once
 
 #include <algorithm>
@@ -11,9 +11,8 @@
 
 inline constexpr Micros kMicrosPerMilli = 1000;
 
-// Runs with the steady clock, or where it is set by hand. It follows the wall clock forwards, for a clock
-// that stays behind would make old data look young; a wall clock that is set back is not followed, so that
-// timers never stall.
+// Runs with the steady clock, or where it is set by hand. The wall clock gives the first reading and no more:
+// a machine's wall clock may be stepped at any time, and a span of ours is one of real time.
 class Clock {
  public:
   Clock() = default;
@@ -29,12 +28,12 @@
 
   Micros now() {
     if (byHand_) return offset_;
-    return follow(sinceEpoch<std::chrono::steady_clock>(), sinceEpoch<std::chrono::system_clock>());
+    return reading(sinceEpoch<std::chrono::steady_clock>(), sinceEpoch<std::chrono::system_clock>());
   }
 
   // The reading for a pair of steady and wall times.
-  Micros follow(Micros steady, Micros wall) {
-    if (!started_ || wall - steady > offset_) offset_ = wall - steady;
+  Micros reading(Micros steady, Micros wall) {
+    if (!started_) offset_ = wall - steady;
     started_ = true;
     return steady + offset_;
   }
@@ -45,7 +44,7 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(Source::now().time_since_epoch()).count();
   }
 
-  Micros offset_ = 0;  // of the wall clock from the steady one; by hand: the reading
+  Micros offset_ = 0;  // of the first wall time from the steady one; by hand: the reading
   bool started_ = false;
   bool byHand_ = false;
 };
--- a/src/wallclock/launch_times.h
+++ b/src/wallclock/launch_times.h
@@ -33,6 +33,7 @@
     Micros launched = 0;
     Micros seenAt = kNotYet;  // when the list service last named it so
   };
+  Micros bounded(Micros told, Micros seenAt) const;
 
   std::unordered_map<std::string, Record> records_;
   Micros now_ = 0;
--- a/tests/launch_times_test.cpp
+++ b/tests/launch_times_test.cpp
@@ -40,6 +40,34 @@
   }
 }
 
+TEST(LaunchTimes, OfOneThatJoinedAreNoOlderThanTheListWithoutIt) {
+  LaunchTimes times;
+  times.beginList(kStart, true);
+  const Micros now = kStart + 10 * kSecond;
+  EXPECT_EQ(told(times, now, now - kHour), kStart);
+  LaunchTimes first;
+  EXPECT_EQ(told(first, now, now - kHour), now - kHour) << "the first list names those that serve";
+  LaunchTimes old;
+  old.beginList(kStart, false);
+  EXPECT_EQ(told(old, now, now - kHour), now - kHour)
+      << "a list of an earlier life is no word on the present";
+}
+
+// One that serves does not turn cold because a list says nothing new, or left it out for a while.
+TEST(LaunchTimes, StayWhileTheLifeIsTheSame) {
+  LaunchTimes times;
+  const Micros launched = told(times, kStart, kStart - 20 * kSecond);
+  times.beginList(kStart + kSecond, true);  // without it
+  EXPECT_EQ(told(times, kStart + 60 * kSecond, kStart - 20 * kSecond), launched);
+  EXPECT_EQ(told(times, kStart + 61 * kSecond, 0), launched) << "'long ago' is no new life";
+}
+
+TEST(LaunchTimes, OfANewLifeAlwaysGrow) {
+  LaunchTimes times;
+  const Micros first = told(times, kStart, kStart - kSecond);
+  EXPECT_GT(told(times, kStart + kSecond, kStart - 2 * kSecond), first);
+}
+
 TEST(LaunchTimes, AreForgottenWithTheirMembers) {
   LaunchTimes times;
   told(times, kStart, kStart - kSecond);
