--- a/tests/start_retry_test.cpp
+++ b/tests/start_retry_test.cpp
@@ -51,6 +51,21 @@
   }
 }
 
+// What the reading of a new configuration fails for at present is tried again too.
+TEST(Reload, IsTriedAgainWhereTheFileCantBeReadForAMoment) {
+  StartingSite site;
+  DiscoveryStandIn elsewhere(site.loop);
+  elsewhere.members = site.discovery.members;
+  // The start itself opens the file once.
+  Process process(site.config(), {}, failing("file-read=1@1500-60000#2"));
+  ASSERT_TRUE(site.until([&] { return process.says("serves at"); }));
+  process.configure(configText({}, elsewhere.address(), site.discovery.members));
+  const auto later = site.loop.now() + 1'600'000;
+  ASSERT_TRUE(site.until([&] { return site.loop.now() > later; }));
+  process.signal(SIGHUP);
+  EXPECT_TRUE(site.until([&] { return !elsewhere.calls.empty(); })) << process.log();
+}
+
 // What can't pass is not waited for, and is called by its own name.
 TEST(WrongStart, EndsAtOnceWithItsTrueName) {
   StartingSite site;
