Starts and reloads try again what may pass, and name what can't; early signals wait

Cause: one ENFILE, ENOBUFS or ENOMEM of socket, epoll_create1, signalfd, epoll_ctl or the reading of a file ended the start with status 1 or 2, under a name that blamed the address. A SIGHUP or SIGTERM that came before the signals were taken ended the process by its default effect. A configuration that could not be read at SIGHUP left the driver at the old list service for good. Change: startup::StartRetry (what may pass, waits doubled, 7 s in all; 3 s at SIGHUP), program::untilStarted around each step of the start, program::Reloading; listeners are opened before the gateway starts; signals are held from the first line on. src/files reads files to their end whatever a short read or EINTR says, in place of two streams that took an error for the end.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -18,6 +18,7 @@
 layer_of() {
   case $1 in
     faultshim) echo 1 ;;
+    files) echo 1 ;;
     transport) echo 1 ;;
     wallclock) echo 1 ;;
     protocol) echo 2 ;;
@@ -39,7 +40,7 @@
     *) echo 0 ;;
   esac
 }
-for folder in faultshim transport wallclock protocol settings installation sparing startup membership subset xml snapshot fleet routing program wirehost standins rig tools; do
+for folder in faultshim files transport wallclock protocol settings installation sparing startup membership subset xml snapshot fleet routing program wirehost standins rig tools; do
   own=$(layer_of "$folder")
   while IFS=: read -r file included; do
     other=${included%%/*}
--- a/src/installation/installation.cpp
+++ b/src/installation/installation.cpp
@@ -3,10 +3,12 @@
 #include <sys/stat.h>
 
 #include <algorithm>
+#include <cstring>
 #include <fstream>
 #include <map>
 #include <set>
 
+#include "files/files.h"
 #include "installation/schema.h"
 
 namespace heathflow::installation {
@@ -195,12 +197,10 @@
 }
 
 std::optional<Installation> load(const std::string& path, std::vector<Problem>& problems) {
-  const auto text = readFile(path);
-  if (!text) {
-    problems.push_back({path, 0, "", "the file can't be opened"});
-    return std::nullopt;
-  }
-  return parse(path, *text, problems);
+  const files::Content text = files::read(path);
+  if (text.bytes) return parse(path, *text.bytes, problems);
+  problems.push_back({path, 0, "", std::string("the file can't be opened: ") + std::strerror(text.error)});
+  return std::nullopt;
 }
 
 void readSecrets(Installation& installation, const std::string& path, std::vector<Problem>& problems) {
--- a/src/installation/installation.h
+++ b/src/installation/installation.h
@@ -71,7 +71,6 @@
 };
 
 using xml::Problem;
-using xml::readFile;
 using xml::toText;
 
 // Reads a file, or its text. Nothing where it can't be used; then 'problems' holds all that is wrong with it,
--- a/src/program/config.cpp
+++ b/src/program/config.cpp
@@ -5,9 +5,10 @@
 #include <algorithm>
 #include <charconv>
 #include <cstdlib>
+#include <cstring>
 #include <nlohmann/json.hpp>
 
-#include "installation/installation.h"
+#include "files/files.h"
 
 namespace heathflow::program {
 namespace {
@@ -131,7 +132,8 @@
   }
 }
 
-bool loadConfig(Config& out, std::string& problem, const std::string& otherwise) {
+bool loadConfig(Config& out, std::string& problem, const std::string& otherwise, int& error) {
+  error = 0;
   const char* path = variable("NODE_CONFIG");
   const bool given = path == nullptr && !otherwise.empty();
   if (given) path = otherwise.c_str();
@@ -139,13 +141,12 @@
     problem = "the variable NODE_CONFIG is not set";
     return false;
   }
-  const auto text = installation::readFile(path);
-  if (!text) {
-    problem = std::string("the file that ") + (given ? "the settings name" : "NODE_CONFIG names") +
-              " can't be opened: " + path;
-    return false;
-  }
-  return parseConfig(*text, out, problem);
+  const files::Content text = files::read(path);
+  if (text.bytes) return parseConfig(*text.bytes, out, problem);
+  error = text.error;
+  problem = std::string("the file that ") + (given ? "the settings name" : "NODE_CONFIG names") +
+            " can't be opened: " + path + ": " + std::strerror(error);
+  return false;
 }
 
 }  // namespace heathflow::program
--- a/src/program/config.h
+++ b/src/program/config.h
@@ -22,8 +22,8 @@
 };
 
 // Reads the file that NODE_CONFIG names, else the one given, and the variables beside it. False, with one
-// plain line that names the key, on bad input.
-bool loadConfig(Config& out, std::string& problem, const std::string& otherwise = {});
+// plain line that names the key, on bad input; 'error' then holds why the file could not be read, or 0.
+bool loadConfig(Config& out, std::string& problem, const std::string& otherwise, int& error);
 // The same from the text of the file.
 bool parseConfig(const std::string& text, Config& out, std::string& problem);
 
--- a/src/program/gateway.cpp
+++ b/src/program/gateway.cpp
@@ -1,6 +1,7 @@
 #include "program/gateway.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <cstring>
 #include <stdexcept>
 #include <utility>
@@ -152,6 +153,12 @@
   return settings.idleTime > 0 ? settings.idleTime : kIdleForever;
 }
 
+// Errors that speak of the address, and not of what the system has to give at present.
+bool ofTheAddress(int error) {
+  return error == EADDRINUSE || error == EADDRNOTAVAIL || error == EACCES || error == EPERM ||
+         error == EINVAL;
+}
+
 }  // namespace
 
 Gateway::Gateway(transport::EventLoop& loop, const Config& config, routing::Observer& observer,
@@ -202,7 +209,25 @@
   entrances_.push_back(std::move(entrance));
 }
 
-bool Gateway::start(std::string& problem) {
+int Gateway::listen(std::string& problem) {
+  for (Entrance& entrance : entrances_) {
+    if (entrance.listener->listening()) continue;
+    const int error = entrance.listener->listen(entrance.address);
+    if (error != 0) {
+      const bool first = &entrance == &entrances_.front();
+      problem = first ? "the key 'listen'" : "the listener '" + entrance.name + "'";
+      problem += ofTheAddress(error)
+                     ? (first ? " holds" : " has") + std::string(" an address that can't be had: ")
+                     : " can't be opened: ";
+      problem += std::strerror(error);
+      return error;
+    }
+    if (const auto bound = entrance.listener->boundTo()) entrance.protocol->boundTo(toText(*bound));
+  }
+  return 0;
+}
+
+void Gateway::start() {
   // The list as it was last known comes first, as old as it may be.
   protocol::MemberList known = config_.known;
   known.complete = true;
@@ -219,18 +244,6 @@
   router_.start();
   // Where lists are pushed the module asks for nothing: on sockets a push comes over a watch all the same.
   if (!config_.settings.logic.mustAsk) watch_.subscribe();
-  for (Entrance& entrance : entrances_) {
-    const int error = entrance.listener->listen(entrance.address);
-    if (error != 0) {
-      problem = &entrance == &entrances_.front()
-                    ? "the key 'listen' holds an address that can't be had: "
-                    : "the listener '" + entrance.name + "' has an address that can't be had: ";
-      problem += std::strerror(error);
-      return false;
-    }
-    if (const auto bound = entrance.listener->boundTo()) entrance.protocol->boundTo(toText(*bound));
-  }
-  return true;
 }
 
 // The list as a whole is kept, for changes alone would be of no use to the next life.
--- a/src/program/gateway.h
+++ b/src/program/gateway.h
@@ -24,8 +24,11 @@
           const installation::Installation& installation = {},
           const std::optional<snapshot::Snapshot>& earlier = {});
 
-  // Takes clients from here on; false, and why, when the address can't be had.
-  bool start(std::string& problem);
+  // Opens the listeners that are not open yet; nobody is taken in before start(). 0, or the error number and
+  // what it means.
+  int listen(std::string& problem);
+  // Takes clients from here on.
+  void start();
   // Where clients reach it.
   std::optional<transport::Endpoint> boundTo(std::size_t listener = 0) const {
     return entrances_[listener].listener->boundTo();
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -2,16 +2,21 @@
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
+#include <cstring>
 #include <exception>
+#include <memory>
 #include <sstream>
 
+#include "files/files.h"
 #include "installation/installation.h"
 #include "program/config.h"
 #include "program/counters.h"
 #include "program/gateway.h"
 #include "program/keeper.h"
 #include "program/log.h"
+#include "program/reloading.h"
 #include "program/signals.h"
+#include "program/starting.h"
 
 namespace {
 
@@ -27,52 +32,71 @@
   for (std::string line; std::getline(lines, line);) program::logLine(line);
 }
 
-// Reads the configuration again. Guards a running gateway against a file that can't be used: the old one
-// stays.
-void reload(program::Gateway& gateway, const std::string& nodeFile) {
-  program::Config fresh;
+// False, and said why, where there is none that can be used.
+bool readConfiguration(const installation::Installation& installation, program::Config& config) {
   std::string problem;
-  if (!program::loadConfig(fresh, problem, nodeFile))
-    return program::logLine("the configuration stays as it was: " + problem);
-  gateway.reload(fresh);
-  program::logLine("the configuration was read again: discovery at " + toText(fresh.discovery));
+  bool good = false;
+  (void)program::untilStarted("the reading of the configuration", [&] {
+    int error = 0;
+    good = program::loadConfig(config, problem, installation.nodeFile, error);
+    return error;
+  });
+  if (!good) program::logLine(problem);
+  return good;
+}
+
+int failedFor(const std::string& what, int error) {
+  program::logLine(what + ": " + std::strerror(error));
+  return kFailed;
 }
 
 int serve(const installation::Installation& installation, const std::string& settingsFile = {}) {
+  program::holdSignals();
   program::Config config;
-  std::string problem;
-  if (!program::loadConfig(config, problem, installation.nodeFile)) {
-    program::logLine(problem);
-    return kUnusable;
-  }
+  if (!readConfiguration(installation, config)) return kUnusable;
   std::vector<installation::Problem> problems;
   installation::checkClasses(installation, settingsFile, config.settings.classNames, problems);
   for (const auto& found : problems) program::logLine(toText(found));
   if (!problems.empty()) return kUnusable;
   program::configureLog(installation.log);
   for (const std::string& note : config.settings.notes) program::logLine(note);
-  transport::EventLoop loop;
+  std::unique_ptr<transport::EventLoop> loopHeld;
+  const int noLoop = program::untilStarted("waiting for events", [&] {
+    loopHeld = std::make_unique<transport::EventLoop>();
+    return 0;
+  });
+  if (noLoop != 0) return failedFor("events can't be waited for", noLoop);
+  transport::EventLoop& loop = *loopHeld;
   program::Log log;
   log.setLinesPerSecond(installation.log.linesPerSecond);
   const auto earlier = program::earlierLife(installation.snapshot, config.name);
   program::Gateway gateway(loop, config, log, installation, earlier);
   program::Keeper keeper(loop, installation.snapshot, earlier, gateway);
-  program::Signals signals(loop, [&](int signal) {
+  program::Reloading reloading(loop, gateway, installation.nodeFile);
+  const auto onSignal = [&](int signal) {
     if (signal == SIGUSR1) return logCounters(log);
-    if (signal == SIGHUP) return reload(gateway, installation.nodeFile);
+    if (signal == SIGHUP) return reloading.begin();
     program::logLine("told to end: clients are let go");
     gateway.drain([&] { loop.stop(); });
+  };
+  std::unique_ptr<program::Signals> signals;
+  const int noSignals = program::untilStarted("the taking of signals", [&] {
+    signals = std::make_unique<program::Signals>(loop, onSignal);
+    return 0;
   });
+  if (noSignals != 0) return failedFor("signals can't be taken", noSignals);
   const Micros every = installation.log.countersEvery * kMicrosPerSecond;
   transport::Timer counting(loop, [&] {
     logCounters(log);
     counting.arm(loop.now() + every);
   });
   if (every > 0) counting.arm(loop.now() + every);
-  if (!gateway.start(problem)) {
+  std::string problem;
+  if (program::untilStarted("the opening of the listeners", [&] { return gateway.listen(problem); }) != 0) {
     program::logLine(problem);
     return kFailed;
   }
+  gateway.start();
   keeper.begin();
   program::logLine(config.name + " serves at " + toText(gateway.boundTo().value_or(config.listen)));
   for (std::size_t i = 0; i < installation.listeners.size(); ++i) {
@@ -90,7 +114,16 @@
   installation::Installation installation;
   if (!settingsFile.empty()) {
     std::vector<installation::Problem> problems;
-    const auto loaded = installation::load(settingsFile, problems);
+    files::Content text;
+    const int error = program::untilStarted("the reading of the settings", [&] {
+      text = files::read(settingsFile);
+      return text.error;
+    });
+    if (error != 0) {
+      program::logLine(settingsFile + ": the file can't be opened: " + std::strerror(error));
+      return kUnusable;
+    }
+    const auto loaded = installation::parse(settingsFile, *text.bytes, problems);
     if (loaded) {
       installation = *loaded;
       installation::readSecrets(installation, settingsFile, problems);
@@ -108,10 +141,11 @@
   if (loaded && !nodeFile.empty()) {
     program::Config config;
     std::string problem;
-    const auto text = installation::readFile(nodeFile);
-    if (!text) {
-      problems.push_back({nodeFile, 0, "", "the file can't be opened"});
-    } else if (!program::parseConfig(*text, config, problem)) {
+    const files::Content text = files::read(nodeFile);
+    if (!text.bytes) {
+      problems.push_back(
+          {nodeFile, 0, "", std::string("the file can't be opened: ") + std::strerror(text.error)});
+    } else if (!program::parseConfig(*text.bytes, config, problem)) {
       problems.push_back({nodeFile, 0, "", problem});
     } else {
       installation::checkClasses(*loaded, settingsFile, config.settings.classNames, problems);
--- a/src/program/signals.cpp
+++ b/src/program/signals.cpp
@@ -9,12 +9,26 @@
 
 namespace heathflow::program {
 
-Signals::Signals(transport::EventLoop& loop, Handler handler) : loop_(loop), handler_(std::move(handler)) {
+namespace {
+
+sigset_t wantedSignals() {
+  sigset_t out;
+  sigemptyset(&out);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP, SIGUSR1}) sigaddset(&out, signal);
+  return out;
+}
+
+}  // namespace
+
+void holdSignals() {
   std::signal(SIGPIPE, SIG_IGN);
-  sigset_t wanted;
-  sigemptyset(&wanted);
-  for (const int signal : {SIGTERM, SIGINT, SIGHUP, SIGUSR1}) sigaddset(&wanted, signal);
+  const sigset_t wanted = wantedSignals();
   sigprocmask(SIG_BLOCK, &wanted, nullptr);
+}
+
+Signals::Signals(transport::EventLoop& loop, Handler handler) : loop_(loop), handler_(std::move(handler)) {
+  holdSignals();
+  const sigset_t wanted = wantedSignals();
   fd_ = transport::UniqueFd(::signalfd(-1, &wanted, SFD_NONBLOCK | SFD_CLOEXEC));
   if (!fd_ || !loop_.watch(fd_.get(), *this))
     throw std::system_error(errno, std::generic_category(), "signals");
--- a/src/program/signals.h
+++ b/src/program/signals.h
@@ -7,6 +7,10 @@
 
 namespace heathflow::program {
 
+// From the first moment of a serving process: signals that come before they are taken wait, where by their
+// usual effect they would end it.
+void holdSignals();
+
 class Signals final : private transport::IoHandler {
  public:
   using Handler = std::function<void(int signal)>;
--- a/src/rig/hollow.cpp
+++ b/src/rig/hollow.cpp
@@ -21,7 +21,8 @@
   observer_ = std::make_unique<Silent>();
   gateway_ = std::make_unique<program::Gateway>(loop_, config_, *observer_);
   std::string problem;
-  if (!gateway_->start(problem)) throw std::runtime_error(problem);
+  if (gateway_->listen(problem) != 0) throw std::runtime_error(problem);
+  gateway_->start();
 }
 
 }  // namespace heathflow::rig
--- a/src/rig/scale_plan.cpp
+++ b/src/rig/scale_plan.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <sstream>
 
+#include "files/files.h"
 namespace heathflow::rig {
 namespace {
 
@@ -183,7 +184,7 @@
 }
 
 std::optional<ScalePlan> loadScalePlan(const std::string& path, std::vector<xml::Problem>& problems) {
-  const auto text = xml::readFile(path);
+  const auto text = files::read(path).bytes;
   if (!text) {
     problems.push_back({path, 0, "", "the file can't be opened"});
     return std::nullopt;
--- a/src/rig/scenario.cpp
+++ b/src/rig/scenario.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 
+#include "files/files.h"
 namespace heathflow::rig {
 namespace {
 
@@ -140,7 +141,7 @@
 }
 
 std::optional<Scenario> loadScenario(const std::string& path, std::vector<xml::Problem>& problems) {
-  const auto text = xml::readFile(path);
+  const auto text = files::read(path).bytes;
   if (!text) {
     problems.push_back({path, 0, "", "the file can't be opened"});
     return std::nullopt;
--- a/src/routing/client_listener.cpp
+++ b/src/routing/client_listener.cpp
@@ -51,8 +51,9 @@
 int ClientListener::listen(const transport::Endpoint& endpoint) {
   transport::Opened opened = transport::listenOn(endpoint, kBacklog);
   if (!opened.fd) return opened.error;
+  if (!loop_.watch(opened.fd.get(), *this)) return errno;
   listener_ = std::move(opened.fd);
-  return loop_.watch(listener_.get(), *this) ? 0 : errno;
+  return 0;
 }
 
 std::optional<transport::Endpoint> ClientListener::boundTo() const {
--- a/src/routing/client_listener.h
+++ b/src/routing/client_listener.h
@@ -22,6 +22,7 @@
 
   // 0, or the error number that stood in the way.
   int listen(const transport::Endpoint& endpoint);
+  bool listening() const { return static_cast<bool>(listener_); }
   std::optional<transport::Endpoint> boundTo() const;
   // The process ends: clients are let go between requests, new ones are taken in for a while yet. Calls back
   // when all have their answers and are gone.
--- a/src/standins/gateway_rig.h
+++ b/src/standins/gateway_rig.h
@@ -174,7 +174,8 @@
   void start() {
     gateway = std::make_unique<program::Gateway>(loop, config, notes, installation);
     std::string problem;
-    if (!gateway->start(problem)) throw std::runtime_error(problem);
+    if (gateway->listen(problem) != 0) throw std::runtime_error(problem);
+    gateway->start();
     if (!installation.listeners.empty()) graphEndpoint = Place(*gateway->boundTo(1), Speaks::Bolt);
     endpoint = speaks == Speaks::Bolt ? graphEndpoint : Place(*gateway->boundTo());
   }
--- a/src/xml/document.cpp
+++ b/src/xml/document.cpp
@@ -5,8 +5,6 @@
 #include <libxml/xmlschemas.h>
 
 #include <algorithm>
-#include <fstream>
-#include <sstream>
 #include <utility>
 
 namespace heathflow::xml {
@@ -93,14 +91,6 @@
     problems_.push_back({file_, line, std::string(element), std::move(text)});
 }
 
-std::optional<std::string> readFile(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file) return std::nullopt;
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 void Document::Free::operator()(_xmlDoc* it) const { xmlFreeDoc(it); }
 
 const Node* Document::root() const { return xmlDocGetRootElement(document_.get()); }
--- a/src/xml/document.h
+++ b/src/xml/document.h
@@ -39,9 +39,6 @@
   std::vector<Problem>& problems_;
 };
 
-// All of a file; nothing where it can't be opened.
-std::optional<std::string> readFile(const std::string& path);
-
 class Document {
  public:
   // Reads a text of the namespace 'space'. Nothing where it is no XML; 'valid' says whether it is as the
--- a/tests/start_retry_test.cpp
+++ b/tests/start_retry_test.cpp
@@ -51,6 +51,21 @@
   }
 }
 
+// A signal that comes while the start still waits for something is no end of the process.
+TEST(EarlySignal, WaitsUntilItCanBeTaken) {
+  StartingSite site;
+  Process process(site.config(), {}, failing("file-open=1#6"));
+  ASSERT_TRUE(site.until([&] { return process.says("is tried again") || process.over(); }));
+  process.signal(SIGHUP);
+  process.signal(SIGUSR1);
+  ASSERT_TRUE(site.until([&] { return process.says("serves at") || process.over(); }));
+  ASSERT_FALSE(process.over()) << process.log();
+  EXPECT_TRUE(site.until([&] { return process.says("was read again"); }));
+  process.signal(SIGTERM);
+  ASSERT_TRUE(site.until([&] { return process.over(); }));
+  EXPECT_EQ(process.status(), 0) << process.log();
+}
+
 // What the reading of a new configuration fails for at present is tried again too.
 TEST(Reload, IsTriedAgainWhereTheFileCantBeReadForAMoment) {
   StartingSite site;
