--- /dev/null
+++ b/tests/momentary_lack_test.cpp
@@ -0,0 +1,95 @@
+// Calls of the system that fail for a moment while the driver serves: our own lack is no word against a
+// member or a client.
+#include <gtest/gtest.h>
+
+#include "crossing.h"
+#include "faultshim/shim.h"
+#include "standins/gateway_rig.h"
+
+namespace heathflow::test {
+namespace {
+
+using faultshim::Fault;
+using faultshim::FaultPlan;
+using faultshim::InForce;
+
+FaultPlan planOf(const std::string& text) {
+  std::string problem;
+  return faultshim::parsePlan(text, problem).value_or(FaultPlan{});
+}
+
+// One whose roles are known and whose connections are gone: the next request needs a new one.
+class Serving {
+ public:
+  Serving() : client(rig.loop, rig.endpoint) {
+    client.ask(request("status", "warm"));
+    EXPECT_TRUE(client.answered());
+    client.forget();
+    for (auto& member : rig.members) {
+      for (auto& line : member->lines) line->hangUp();
+    }
+    const auto left = [this] {
+      return rig.counters().connectionsStale >= 1 && rig.counters().descriptors <= 1;
+    };
+    EXPECT_TRUE(rig.until(left));
+  }
+  GatewayRig rig;
+  ClientStandIn client;
+};
+
+TEST(OwnLack, OfASocketRefusesNoRequest) {
+  Serving site;
+  const InForce faults(planOf("socket=1#2"));
+  site.client.ask(request("status", "a"));
+  ASSERT_TRUE(site.client.answered());
+  EXPECT_EQ(site.client.code(), "");
+  EXPECT_EQ(faultshim::struck(Fault::Socket), 2U);
+}
+
+TEST(OwnLack, OfAPortOrAWatchIsNoFailureOfTheMember) {
+  for (const char* plan : {"connect=1#1", "connect=1#3", "watch=1#1", "watch=1#2"}) {
+    Serving site;
+    const auto before = site.rig.outcomes(Outcome::ConnectFailed);
+    const InForce faults(planOf(plan));
+    site.client.ask(request("status", "a"));
+    ASSERT_TRUE(site.client.answered()) << plan;
+    EXPECT_EQ(site.client.code(), "") << plan;
+    EXPECT_EQ(site.rig.outcomes(Outcome::ConnectFailed), before) << plan;
+  }
+}
+
+// Where it lasts the request gets its answer all the same.
+TEST(OwnLack, ThatLastsIsARefusal) {
+  Serving site;
+  const InForce faults(planOf("socket=1"));
+  site.client.ask(request("status", "a"));
+  ASSERT_TRUE(site.client.answered());
+  EXPECT_EQ(site.client.code(), "53300");
+}
+
+// Taken off the queue, a client's connection is ours: closed unread it would be reset under its request.
+TEST(OwnLack, OfAWatchClosesNoClientUnread) {
+  GatewayRig rig;
+  ClientStandIn warm(rig.loop, rig.endpoint);
+  warm.ask(request("any", "warm"));
+  ASSERT_TRUE(warm.answered());
+  Line client(rig.loop, nullptr);
+  int error = 0;
+  ASSERT_TRUE(client.stream.connect(rig.endpoint.endpoint, error));  // it stands in the queue
+  const InForce faults(planOf("watch=1#4"));
+  client.say(pg::startup() + pg::query(request("any", "a")));
+  ASSERT_TRUE(rig.until([&] { return client.ended || client.got.find("from ") != std::string::npos; }));
+  EXPECT_FALSE(client.ended);
+  EXPECT_EQ(faultshim::struck(Fault::Watch), 4U);
+}
+
+TEST(OwnLack, OfAnAcceptLeavesNoClientWaiting) {
+  GatewayRig rig;
+  const InForce faults(planOf("accept=1#40;interrupt-io=0.2"));
+  ClientStandIn client(rig.loop, rig.endpoint);
+  client.ask(request("any", "a"));
+  EXPECT_TRUE(client.answered());
+}
+
+}  // namespace
+}  // namespace heathflow::test
