A moment's lack of descriptors, ports or watches is no word against members or clients

Cause: MemberPool::start took every error but EMFILE and ENFILE for the member's; these two refused the request at once. ClientListener::admit closed an accepted client that could not be watched, unread and uncounted. acceptFrom went on without bound while accept told of connections that had gone. Change: Stream::connect begins a connection again up to four times where the error is of our own lack or of our network; what is left of that is NoRoom. An accepted client that can't be watched is kept and watched before the next is accepted. Connections that went away in the queue count among the 64 accepts of a turn.

--- a/src/routing/client_listener.cpp
+++ b/src/routing/client_listener.cpp
@@ -69,12 +69,16 @@
       retry_.arm(loop_.now() + kRetryAccept);
       return false;
     }
-    transport::Opened opened = transport::acceptFrom(listener_.get());
+    transport::Opened opened{std::move(unwatched_), 0};
+    if (!opened.fd) opened = transport::acceptFrom(listener_.get());
+    if (opened.fd && admit(std::move(opened.fd), makeRoom())) continue;
     if (opened.fd) {
-      admit(std::move(opened.fd), makeRoom());
-      continue;
+      // Guards the request that may stand in it: its connection is not closed for what we lack.
+      opened.error = errno;
+      unwatched_ = std::move(opened.fd);
     }
     if (opened.error == EAGAIN || opened.error == EWOULDBLOCK) return true;
+    if (opened.error == ECONNABORTED || opened.error == EPROTO) continue;
     observer_.note(Topic::Limits,
                    "a client can't be taken in at present: error " + std::to_string(opened.error));
     // An idle connection to a member goes before a client does.
@@ -169,16 +173,16 @@
   return out;
 }
 
-void ClientListener::admit(transport::UniqueFd fd, bool fits) {
+bool ClientListener::admit(transport::UniqueFd&& fd, bool fits) {
+  auto session =
+      std::make_unique<ClientSession>(loop_, static_cast<ClientSessionOwner&>(*this), router_, shared_,
+                                      observer_, protocolIndex_, protocol_.name(), protocol_.towardsClient());
+  if (!session->adopt(std::move(fd))) return false;
   if (!fits) {
     ++observer_.counters.clientsTurnedAway;
     observer_.note(Topic::Limits, "a client is turned away: no descriptor is left for it");
+    session->rejectConnection();
   }
-  auto session =
-      std::make_unique<ClientSession>(loop_, static_cast<ClientSessionOwner&>(*this), router_, shared_,
-                                      observer_, protocolIndex_, protocol_.name(), protocol_.towardsClient());
-  if (!session->adopt(std::move(fd))) return;
-  if (!fits) session->rejectConnection();
   if (draining_) session->drain(false);
   ++observer_.counters.clientsAccepted;
   budget_.clientOpened();
@@ -186,6 +190,7 @@
   unknown_.push_back(std::move(session));
   index_.emplace(key, Held{&unknown_, std::prev(unknown_.end())});
   if (!thinning_.armed()) thinOut();
+  return true;
 }
 
 void ClientListener::onSessionOver(ClientSession& session) {
--- a/src/routing/client_listener.h
+++ b/src/routing/client_listener.h
@@ -46,7 +46,8 @@
   std::vector<Sessions*> mayGo();
   void move(ClientSession& session, Sessions& to);
   std::vector<ClientSession*> all() const;
-  void admit(transport::UniqueFd fd, bool fits);
+  // False where it can't be watched at present; it then stays the caller's.
+  bool admit(transport::UniqueFd&& fd, bool fits);
   void stopListening();
   void checkDrained();
 
@@ -59,11 +60,12 @@
   std::size_t protocolIndex_;
   ClientSession::Shared& shared_;
   transport::UniqueFd listener_;
-  Sessions busy_;       // with a request out
-  Sessions regular_;    // between requests and have asked more than once; the longest idle first
-  Sessions once_;       // have asked once; the longest idle first
-  Sessions unknown_;    // nothing could be understood of them so far; the oldest first
-  Sessions lingering_;  // have had their last answer and are closing; the oldest first
+  transport::UniqueFd unwatched_;  // accepted, and to be watched before the next is
+  Sessions busy_;                  // with a request out
+  Sessions regular_;               // between requests and have asked more than once; the longest idle first
+  Sessions once_;                  // have asked once; the longest idle first
+  Sessions unknown_;               // nothing could be understood of them so far; the oldest first
+  Sessions lingering_;             // have had their last answer and are closing; the oldest first
   struct Held {
     Sessions* in;
     Sessions::iterator at;
--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -58,7 +58,7 @@
 
 ClientSession::~ClientSession() = default;
 
-bool ClientSession::adopt(transport::UniqueFd fd) {
+bool ClientSession::adopt(transport::UniqueFd&& fd) {
   restingSince_ = loop_.now();
   requestTimeout_.arm(loop_.now() + kRequestTimeout);
   return stream_.adopt(std::move(fd));
--- a/src/routing/client_session.h
+++ b/src/routing/client_session.h
@@ -62,8 +62,8 @@
                 std::unique_ptr<protocol::ClientSide> side);
   ~ClientSession() override;
 
-  // Takes over an accepted connection. False where it can't be watched.
-  bool adopt(transport::UniqueFd fd);
+  // Takes over an accepted connection. False where it can't be watched; it then stays the caller's.
+  bool adopt(transport::UniqueFd&& fd);
   // There are too many clients: the first request gets a fatal error, and the connection ends.
   void rejectConnection();
   // Closes the connection as soon as it is idle. A client that has sent no request yet may still send one,
--- a/src/routing/member_pool.cpp
+++ b/src/routing/member_pool.cpp
@@ -75,7 +75,7 @@
   int error = 0;
   if (!opened->connect(*route.endpoint, times_.connectLimit, error)) {
     ++observer_.counters.connectionsFailed;
-    return error == EMFILE || error == ENFILE ? Started::NoRoom : Started::Unreachable;
+    return transport::ownLack(error) ? Started::NoRoom : Started::Unreachable;
   }
   ++observer_.counters.connectionsOpened;
   budget_.memberOpened();
--- a/src/transport/socket.cpp
+++ b/src/transport/socket.cpp
@@ -5,6 +5,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <array>
 #include <cerrno>
 #include <charconv>
 
@@ -47,6 +49,11 @@
   return std::string(text) + ":" + std::to_string(endpoint.port);
 }
 
+bool ownLack(int error) {
+  constexpr std::array kLacks = {EMFILE, ENFILE, ENOBUFS, ENOMEM, ENOSPC, EADDRNOTAVAIL, EAGAIN, EINTR};
+  return std::find(kLacks.begin(), kLacks.end(), error) != kLacks.end();
+}
+
 Opened listenOn(const Endpoint& endpoint, int backlog) {
   UniqueFd fd = openSocket();
   if (!fd) return {UniqueFd(), errno};
@@ -63,8 +70,7 @@
   for (;;) {
     UniqueFd fd(::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (!fd) {
-      // One that went away while it was in the queue says nothing of those behind it.
-      if (errno == EINTR || errno == ECONNABORTED || errno == EPROTO) continue;
+      if (errno == EINTR) continue;
       return {UniqueFd(), errno};
     }
     setFlag(fd.get(), IPPROTO_TCP, TCP_NODELAY);
--- a/src/transport/socket.h
+++ b/src/transport/socket.h
@@ -26,7 +26,12 @@
   UniqueFd fd;
   int error = 0;
 };
+// Whether an error speaks of what this process or machine lacks, descriptors, memory or ports, and not of the
+// other end.
+bool ownLack(int error);
 Opened listenOn(const Endpoint& endpoint, int backlog);
+// One that went away while it was in the queue comes as ECONNABORTED or EPROTO, and says nothing of those
+// behind it.
 Opened acceptFrom(int listener);
 // The connection comes up, or fails, later.
 Opened startConnect(const Endpoint& endpoint);
--- a/src/transport/stream.cpp
+++ b/src/transport/stream.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/epoll.h>
 
+#include <cerrno>
 #include <exception>
 
 namespace heathflow::transport {
@@ -12,6 +13,8 @@
 // Dropped bytes cost no copy, so that a turn may take more of them; and the most that is dropped at all.
 constexpr std::size_t kDropPerTurn = 1024 * 1024;
 constexpr std::size_t kDropMost = 96 * 1024 * 1024;
+// A call may fail for a moment and go well the next time.
+constexpr int kConnectTries = 4;
 
 }  // namespace
 
@@ -22,19 +25,24 @@
       output_(limits.output, &loop.memory()),
       lingerLimit_(loop, [this] { end(StreamEnd::Closed); }) {}
 
-bool Stream::adopt(UniqueFd fd) {
+bool Stream::adopt(UniqueFd&& fd) {
+  if (!loop_.watch(fd.get(), *this)) return false;
   fd_ = std::move(fd);
-  if (loop_.watch(fd_.get(), *this)) return true;
-  fd_.reset();
-  return false;
+  return true;
 }
 
 bool Stream::connect(const Endpoint& endpoint, int& error) {
-  Opened opened = startConnect(endpoint);
-  error = opened.error;
-  if (!opened.fd) return false;
-  connecting_ = true;
-  return adopt(std::move(opened.fd));
+  for (int tries = 0; tries < kConnectTries; ++tries) {
+    Opened opened = startConnect(endpoint);
+    error = opened.error;
+    if (opened.fd && adopt(std::move(opened.fd))) {
+      connecting_ = true;
+      return true;
+    }
+    if (opened.fd) error = errno;
+    if (!ownLack(error) && error != ENETUNREACH) return false;
+  }
+  return false;
 }
 
 void Stream::close() {
--- a/src/transport/stream.h
+++ b/src/transport/stream.h
@@ -34,9 +34,10 @@
   Stream(const Stream&) = delete;
   Stream& operator=(const Stream&) = delete;
 
-  // Takes over a connection that is up. False when it can't be watched.
-  bool adopt(UniqueFd fd);
-  // Starts one. The owner hears of it later, of failures too.
+  // Takes over a connection that is up. False when it can't be watched; it then stays the caller's.
+  bool adopt(UniqueFd&& fd);
+  // Starts one. The owner hears of it later, of failures too. False, and the error number, where it could not
+  // even be begun, a moment's lack aside.
   bool connect(const Endpoint& endpoint, int& error);
 
   Buffer& input() { return input_; }
