--- a/tests/momentary_lack_test.cpp
+++ b/tests/momentary_lack_test.cpp
@@ -4,7 +4,9 @@
 
 #include "crossing.h"
 #include "faultshim/shim.h"
+#include "snapshot/snapshot.h"
 #include "standins/gateway_rig.h"
+#include "standins/temporary_file.h"
 
 namespace heathflow::test {
 namespace {
@@ -91,5 +93,48 @@
   EXPECT_TRUE(client.answered());
 }
 
+snapshot::Snapshot aSnapshot() {
+  snapshot::Snapshot out;
+  out.name = "n0";
+  out.callCost = 1234;
+  return out;
+}
+
+// Guards what an earlier life has learned: a disk that fails for a moment is no damaged file.
+TEST(SnapshotFile, IsNotSetAsideForAMomentsError) {
+  TemporaryFolder folder;
+  const std::string path = folder.path() + "/n0.snapshot";
+  std::string problem;
+  ASSERT_TRUE(snapshot::save(path, aSnapshot(), problem)) << problem;
+  {
+    const InForce faults(planOf("file-read=1"));
+    EXPECT_FALSE(snapshot::load(path, "n0", problem));
+    EXPECT_NE(problem, "");
+  }
+  problem.clear();
+  const auto again = snapshot::load(path, "n0", problem);
+  ASSERT_TRUE(again) << problem;
+  EXPECT_EQ(again->callCost, 1234);
+}
+
+TEST(SnapshotFile, StaysAsItWasWhereAWriteEndsHalfDone) {
+  for (const char* plan : {"file-write=1", "file-sync=1", "file-rename=1", "file-open=1"}) {
+    TemporaryFolder folder;
+    const std::string path = folder.path() + "/n0.snapshot";
+    std::string problem;
+    ASSERT_TRUE(snapshot::save(path, aSnapshot(), problem)) << problem;
+    snapshot::Snapshot newer = aSnapshot();
+    newer.callCost = 99;
+    {
+      const InForce faults(planOf(std::string("seed=4;") + plan));
+      EXPECT_FALSE(snapshot::save(path, newer, problem)) << plan;
+    }
+    problem.clear();
+    const auto kept = snapshot::load(path, "n0", problem);
+    ASSERT_TRUE(kept) << plan << ": " << problem;
+    EXPECT_EQ(kept->callCost, 1234) << plan;
+  }
+}
+
 }  // namespace
 }  // namespace heathflow::test
