--- a/src/program/keeper.cpp
+++ b/src/program/keeper.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr transport::Micros kMicrosPerSecond = 1'000'000;
+// A life that ended in order must not count as one that died young for one failed write.
+constexpr int kLastTries = 3;
 
 }  // namespace
 
@@ -32,32 +34,38 @@
 void Keeper::begin() {
   if (settings_.file.empty()) return;
   begunAt_ = loop_.now();
+  files::removeLeftovers(settings_.file);
   ++youngDeaths_;
-  write();
+  // Nothing is asked yet: there is time to wait for the disk.
+  owed_ = !write(files::Durable::Yes);
   next_.arm(begunAt_ + std::min<transport::Micros>(startup::kYoung, settings_.every * kMicrosPerSecond));
 }
 
 void Keeper::end() {
   if (settings_.file.empty()) return;
   youngDeaths_ = 0;
-  write();
+  for (int tries = 0; tries < kLastTries && !write(files::Durable::Yes); ++tries) {
+  }
 }
 
 void Keeper::turn() {
   const bool grown = youngDeaths_ > 0 && loop_.now() - begunAt_ >= startup::kYoung;
   if (grown) youngDeaths_ = 0;
-  if (grown || gateway_.listsTaken() != written_) write();
+  owed_ = owed_ || grown;
+  // Requests are out: what would have to wait for the disk would hold them up.
+  if (owed_ || gateway_.listsTaken() != written_) owed_ = !write(files::Durable::No);
   next_.arm(loop_.now() + settings_.every * kMicrosPerSecond);
 }
 
-void Keeper::write() {
+bool Keeper::write(files::Durable durable) {
   snapshot::Snapshot now = gateway_.remember();
   now.youngDeaths = youngDeaths_;
   std::string problem;
-  const bool good = snapshot::save(settings_.file, now, problem);
+  const bool good = snapshot::save(settings_.file, now, durable, problem);
   if (!good && !failing_) logLine(problem);  // once, until it goes well again
   failing_ = !good;
   if (good) written_ = gateway_.listsTaken();
+  return good;
 }
 
 }  // namespace heathflow::program
--- a/src/program/keeper.h
+++ b/src/program/keeper.h
@@ -27,7 +27,7 @@
 
  private:
   void turn();
-  void write();
+  bool write(files::Durable durable);
 
   transport::EventLoop& loop_;
   const installation::SnapshotSettings& settings_;
@@ -35,6 +35,7 @@
   transport::Micros begunAt_ = 0;
   unsigned youngDeaths_ = 0;
   std::uint64_t written_ = 0;  // the lists that the newest file holds
+  bool owed_ = false;          // something else than a list is not in the file yet
   bool failing_ = false;
   transport::Timer next_;
 };
--- a/src/rig/site.cpp
+++ b/src/rig/site.cpp
@@ -197,7 +197,8 @@
         if (scenario_.learned > 0) earlier.callCost = scenario_.learned;
         earlier.usual = scenario_.usual;
         std::string problem;
-        if (!snapshot::save(snapshot, earlier, problem)) throw std::runtime_error(problem);
+        if (!snapshot::save(snapshot, earlier, files::Durable::No, problem))
+          throw std::runtime_error(problem);
       }
     }
     drivers_.push_back(std::move(driver));
--- a/src/snapshot/snapshot.cpp
+++ b/src/snapshot/snapshot.cpp
@@ -1,15 +1,12 @@
 #include "snapshot/snapshot.h"
 
-#include <unistd.h>
 #include <xxhash.h>
 
 #include <array>
 #include <cerrno>
 #include <cstdio>
 #include <cstring>
-#include <fstream>
 #include <msgpack.hpp>
-#include <sstream>
 #include <tuple>
 #include <vector>
 
@@ -21,6 +18,7 @@
 // Guards memory against a file that can't be meant.
 constexpr std::size_t kFileLimit = 16 << 20;
 constexpr std::size_t kMembersMost = 100'000;
+constexpr int kReadTries = 3;
 
 using Port = std::tuple<std::string, std::uint16_t>;
 using Entry = std::tuple<std::string, std::string, std::string, std::uint32_t, std::uint8_t, double,
@@ -136,21 +134,18 @@
 }
 
 std::optional<Snapshot> load(const std::string& path, const std::string& name, std::string& problem) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file) {
-    if (errno != ENOENT) problem = "the snapshot " + path + " can't be opened: " + std::strerror(errno);
+  files::Content file = files::read(path, kFileLimit);
+  for (int tries = 1; tries < kReadTries && !file.bytes && file.error != ENOENT; ++tries)
+    file = files::read(path, kFileLimit);
+  if (file.error == ENOENT) return {};
+  // Guards what an earlier life has learned: a disk that fails for a moment says nothing of the file.
+  if (!file.bytes && file.error != EFBIG) {
+    problem = "the snapshot " + path + " can't be read: " + std::strerror(file.error);
     return {};
   }
-  std::string bytes(kFileLimit + 1, '\0');
-  file.read(bytes.data(), static_cast<std::streamsize>(bytes.size()));
-  bytes.resize(static_cast<std::size_t>(file.gcount()));
-  std::string why;
+  std::string why = "it is larger than any snapshot";
   std::optional<Snapshot> out;
-  if (bytes.size() > kFileLimit) {
-    why = "it is larger than any snapshot";
-  } else {
-    out = decode(bytes, name, why);
-  }
+  if (file.bytes) out = decode(*file.bytes, name, why);
   if (out) return out;
   const std::string aside = path + ".unusable";
   const bool moved = std::rename(path.c_str(), aside.c_str()) == 0;
@@ -159,23 +154,10 @@
   return {};
 }
 
-bool save(const std::string& path, const Snapshot& snapshot, std::string& problem) {
-  const std::string aside = path + ".new";
-  const std::string bytes = encode(snapshot);
-  {
-    std::ofstream file(aside, std::ios::binary | std::ios::trunc);
-    file.write(bytes.data(), static_cast<std::streamsize>(bytes.size()));
-    file.close();
-    if (!file) {
-      problem = "the snapshot can't be written to " + aside + ": " + std::strerror(errno);
-      ::unlink(aside.c_str());
-      return false;
-    }
-  }
-  if (std::rename(aside.c_str(), path.c_str()) == 0) return true;
-  problem = "the snapshot can't be renamed to " + path + ": " + std::strerror(errno);
-  ::unlink(aside.c_str());
-  return false;
+bool save(const std::string& path, const Snapshot& snapshot, files::Durable durable, std::string& problem) {
+  const int error = files::replace(path, encode(snapshot), durable);
+  if (error != 0) problem = "the snapshot can't be written to " + path + ": " + std::strerror(error);
+  return error == 0;
 }
 
 }  // namespace heathflow::snapshot
--- a/src/snapshot/snapshot.h
+++ b/src/snapshot/snapshot.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "files/files.h"
 #include "protocol/member_list.h"
 #include "startup/belief.h"
 
@@ -34,11 +35,11 @@
 std::optional<protocol::MemberList> believed(const Snapshot& snapshot, Micros now,
                                              const startup::BeliefSettings& settings);
 
-// Reads a file. One that can't be used is set aside beside itself, under a name that says so, and its problem
-// is told; without a file there is no problem.
+// Reads a file. One whose content can't be used is set aside beside itself, under a name that says so, and
+// its problem is told; one that can't be read stays. Without a file there is no problem.
 std::optional<Snapshot> load(const std::string& path, const std::string& name, std::string& problem);
 // Writes aside and renames, so that a reader sees the old file or the new one. False, and why, where it
 // can't.
-bool save(const std::string& path, const Snapshot& snapshot, std::string& problem);
+bool save(const std::string& path, const Snapshot& snapshot, files::Durable durable, std::string& problem);
 
 }  // namespace heathflow::snapshot
--- a/tests/momentary_lack_test.cpp
+++ b/tests/momentary_lack_test.cpp
@@ -105,7 +105,7 @@
   TemporaryFolder folder;
   const std::string path = folder.path() + "/n0.snapshot";
   std::string problem;
-  ASSERT_TRUE(snapshot::save(path, aSnapshot(), problem)) << problem;
+  ASSERT_TRUE(snapshot::save(path, aSnapshot(), files::Durable::Yes, problem)) << problem;
   {
     const InForce faults(planOf("file-read=1"));
     EXPECT_FALSE(snapshot::load(path, "n0", problem));
@@ -122,12 +122,12 @@
     TemporaryFolder folder;
     const std::string path = folder.path() + "/n0.snapshot";
     std::string problem;
-    ASSERT_TRUE(snapshot::save(path, aSnapshot(), problem)) << problem;
+    ASSERT_TRUE(snapshot::save(path, aSnapshot(), files::Durable::Yes, problem)) << problem;
     snapshot::Snapshot newer = aSnapshot();
     newer.callCost = 99;
     {
       const InForce faults(planOf(std::string("seed=4;") + plan));
-      EXPECT_FALSE(snapshot::save(path, newer, problem)) << plan;
+      EXPECT_FALSE(snapshot::save(path, newer, files::Durable::Yes, problem)) << plan;
     }
     problem.clear();
     const auto kept = snapshot::load(path, "n0", problem);
--- a/tests/startup_test.cpp
+++ b/tests/startup_test.cpp
@@ -418,14 +418,14 @@
   EXPECT_FALSE(load(folder.file(), "n7", problem));
   EXPECT_EQ(problem, "") << "a first life has no file";
   Snapshot kept = example();
-  ASSERT_TRUE(save(folder.file(), kept, problem)) << problem;
+  ASSERT_TRUE(save(folder.file(), kept, files::Durable::Yes, problem)) << problem;
   kept.list.revision = 42;
-  ASSERT_TRUE(save(folder.file(), kept, problem)) << problem;
+  ASSERT_TRUE(save(folder.file(), kept, files::Durable::Yes, problem)) << problem;
   const auto back = load(folder.file(), "n7", problem);
   ASSERT_TRUE(back) << problem;
   EXPECT_EQ(back->list.revision, 42);
   EXPECT_FALSE(std::filesystem::exists(folder.file() + ".new"));
-  EXPECT_FALSE(save(folder.path() + "/none/n7.snapshot", kept, problem));
+  EXPECT_FALSE(save(folder.path() + "/none/n7.snapshot", kept, files::Durable::Yes, problem));
   EXPECT_NE(problem.find("can't be written"), std::string::npos);
 }
 
