Failing test for a drain behind a move of the list service, in the rig

Need: the rig condemned a driver for sends to members that drain, where the list service moved and drivers started in between. Result: fails.

--- a/tests/site_test.cpp
+++ b/tests/site_test.cpp
@@ -222,6 +222,20 @@
   EXPECT_TRUE(played(scenario).lastList);
 }
 
+// What a service tells counts, and not what its caller was told elsewhere: a driver that starts between the
+// move and the drain learns of both at the new place.
+TEST(ColdSites, ADrainBehindAMoveIsToldAtTheNewPlace) {
+  Scenario scenario = small();
+  scenario.length = 6 * kS;
+  scenario.groups = 2;
+  scenario.replicas = 3;
+  scenario.perDriver = 40;
+  scenario.happenings = {{Happening::Kind::ListMoves, 2000 * kMs, 1, 1500 * kMs},
+                         {Happening::Kind::KillDrivers, 2100 * kMs, 0.5, 400 * kMs},
+                         {Happening::Kind::DrainMembers, 2200 * kMs, 0.4, kS}};
+  played(scenario);
+}
+
 TEST(ColdSites, APauseOfHalfOfThemIsOver) {
   Scenario scenario = small();
   scenario.happenings = {{Happening::Kind::PauseDrivers, kS, 0.5, kS}};
