Rig: a moved list service hears of changes, and only the word of a drain counts as told

Cause: the service that drivers are moved to kept the list of the moment of the move, and the judge took a member's name anywhere in an answer for the word that it drains. n12, told to end at 13.6 s, started at 15.6 s and asked the new place, which listed m1 and m3 as ready; the judge condemned its sends since 16.0 s. The driver did right by what it was told; revisions of the two places were not compared (the new place gives the whole list to one that holds a higher revision). Lines to blame: Site::restartMembers and killPrimaries (service_.set alone), Site::called (body.find). Change: Site::publish tells both places; an answer names the members that it tells as terminating.

--- a/src/rig/list_model.cpp
+++ b/src/rig/list_model.cpp
@@ -15,6 +15,8 @@
          (entry.primary ? "read-write" : "read-only") + "\"}";
 }
 
+constexpr std::string_view kTerminating = "Terminating";
+
 bool same(const ListedEntry& a, const ListedEntry& b) {
   return a.hostPort == b.hostPort && a.cell == b.cell && a.phase == b.phase && a.upSinceMs == b.upSinceMs &&
          a.primary == b.primary;
@@ -46,13 +48,14 @@
   entries_ = std::move(entries);
 }
 
-std::string ListModel::body(std::int64_t since, std::size_t& lines) const {
+std::size_t ListModel::write(std::int64_t since, Answer& answer) const {
   // A caller that holds something newer than what is here gets all.
   const bool whole = since < 0 || since > revision_;
   std::string members;
-  lines = 0;
+  std::size_t lines = 0;
   const auto add = [&](const ListedEntry& entry) {
     members += (lines++ == 0 ? "" : ",") + lineOf(entry, entry.phase);
+    if (entry.phase == kTerminating) answer.draining.push_back(entry.id);
   };
   if (whole) {
     for (const ListedEntry& entry : entries_) {
@@ -63,14 +66,14 @@
       if (change.first > since) add(change.second);
     }
   }
-  return "{\"revision\":" + std::to_string(revision_) + ",\"complete\":" + (whole ? "true" : "false") +
-         ",\"members\":[" + members + "]}";
+  answer.body = "{\"revision\":" + std::to_string(revision_) +
+                ",\"complete\":" + (whole ? "true" : "false") + ",\"members\":[" + members + "]}";
+  return lines;
 }
 
 ListModel::Answer ListModel::serve(Micros now, std::int64_t since) {
-  std::size_t lines = 0;
   Answer out;
-  out.body = body(since, lines);
+  const std::size_t lines = write(since, out);
   if (since < 0 || since > revision_) ++wholeLists_;
   busyUntil_ = std::max(busyUntil_, now) + costs_.call + static_cast<Micros>(lines) * costs_.line;
   out.at = busyUntil_;
--- a/src/rig/list_model.h
+++ b/src/rig/list_model.h
@@ -42,6 +42,7 @@
     enum class Kind { Served, TurnedAway, Reset } kind = Kind::Served;
     Micros at = 0;  // when it goes out
     std::string body;
+    std::vector<std::string> draining;  // the members that it tells as terminating
   };
 
   explicit ListModel(ListCosts costs) : costs_(costs) {}
@@ -81,7 +82,8 @@
 
  private:
   Answer serve(Micros now, std::int64_t since);
-  std::string body(std::int64_t since, std::size_t& lines) const;
+  // Fills in the body, and who drains by it; how many lines it has.
+  std::size_t write(std::int64_t since, Answer& answer) const;
 
   ListCosts costs_;
   std::vector<ListedEntry> entries_;
--- a/src/rig/site.cpp
+++ b/src/rig/site.cpp
@@ -263,6 +263,12 @@
   driver.child = std::make_unique<Child>(program_, configOf(driver.number), std::move(arguments));
 }
 
+// What the members are by now, at the service and where it has moved to.
+void Site::publish() {
+  service_.set(listOf());
+  if (elsewhere_) elsewhere_->set(listOf());
+}
+
 void Site::later(Micros after, std::function<void()> what) {
   later_.at(loop_.now() + after, std::move(what));
 }
@@ -352,9 +358,8 @@
   }
   if (door == 0) return;
   Driver& driver = *drivers_[door - 1];
-  for (const auto& [member, phase] : phases_) {
-    if (phase == "Terminating" && answer.body.find("\"" + member + "\"") != std::string::npos)
-      judge_.toldDraining(driver.name, member, loop_.now());
+  for (const std::string& member : answer.draining) {
+    if (phases_.contains(member)) judge_.toldDraining(driver.name, member, loop_.now());
   }
   if (std::exchange(driver.listed, true)) return;
   if (--listsMissing_ == 0) outcomes_.lastList = loop_.now() - startedAt_;
@@ -382,10 +387,10 @@
     }
     note("replicas lead");
   });
-  later(lasts + kListLearns, [this] { service_.set(listOf()); });
+  later(lasts + kListLearns, [this] { publish(); });
   later(lasts + kMicrosPerSecond, [this, fallen] {
     for (Member* member : fallen) member->start();
-    service_.set(listOf());
+    publish();
     note("the old primaries are back, cold");
   });
 }
@@ -403,7 +408,7 @@
   const Micros goAfter = drain ? kDrainLasts : 0;
   if (drain) {
     for (Member* member : chosen) phases_[member->name()] = "Terminating";
-    service_.set(listOf());
+    publish();
   }
   const auto led = std::make_shared<std::vector<Member*>>();
   later(goAfter, [this, chosen, led] {
@@ -412,7 +417,7 @@
       member->die();
       phases_[member->name()] = "Gone";
     }
-    service_.set(listOf());
+    publish();
   });
   later(goAfter + lasts, [this, chosen, led] {
     for (Member* member : chosen) {
@@ -421,7 +426,7 @@
       for (const auto& driver : drivers_) judge_.toldReady(driver->name, member->name());
     }
     for (Member* member : *led) member->model().lead();
-    service_.set(listOf());
+    publish();
     note("members are back, cold");
   });
 }
@@ -500,7 +505,7 @@
       service_.goDown();
       return later(happening.lasts, [this] {
         service_.model().goBackTo(kServiceRevision / 2);
-        service_.set(listOf());
+        publish();
         service_.comeUp();
         note("the list service is back with an older state");
       });
@@ -531,7 +536,7 @@
       if (led) member->model().lead();
     }
   }
-  service_.set(listOf());
+  publish();
   if (scenario_.listUpAt > 0) {
     service_.goDown();
     later(scenario_.listUpAt, [this] {
--- a/src/rig/site.h
+++ b/src/rig/site.h
@@ -95,6 +95,7 @@
 
   std::string configOf(std::size_t number) const;
   std::vector<ListedEntry> listOf() const;
+  void publish();
   void startDriver(Driver& driver);
   void tick();
   void begin(const Happening& happening);
