A guard counts broken invariants; a fault soak of real processes overlaps troubles

Change: src/invariants, one guard for sending, repeating, answering, closing and starting, which keeps its own record, refuses what would break a rule and counts it (counters 'invariants', log lines); why connections are closed and after what attempts are repeated are counted, and the log level 'trace' tells each step of each request and each change of a member's state.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -24,6 +24,7 @@
     protocol) echo 2 ;;
     settings) echo 2 ;;
     installation) echo 2 ;;
+    invariants) echo 2 ;;
     sparing) echo 2 ;;
     startup) echo 1 ;;
     membership) echo 1 ;;
@@ -40,7 +41,7 @@
     *) echo 0 ;;
   esac
 }
-for folder in faultshim files transport wallclock protocol settings installation sparing startup membership subset xml snapshot fleet routing program wirehost standins rig tools; do
+for folder in faultshim files transport wallclock protocol settings installation invariants sparing startup membership subset xml snapshot fleet routing program wirehost standins rig tools; do
   own=$(layer_of "$folder")
   while IFS=: read -r file included; do
     other=${included%%/*}
--- a/src/installation/installation.cpp
+++ b/src/installation/installation.cpp
@@ -30,6 +30,7 @@
   const std::string level = attribute(node, "level");
   if (form == "keyvalue") out.form = LogForm::KeyValue;
   if (form == "json") out.form = LogForm::Json;
+  if (level == "trace") out.level = LogLevel::Trace;
   if (level == "warning") out.level = LogLevel::Warning;
   if (level == "error") out.level = LogLevel::Error;
   out.linesPerSecond = numberOf(attribute(node, "lines-per-second"), out.linesPerSecond);
--- a/src/installation/installation.h
+++ b/src/installation/installation.h
@@ -13,7 +13,8 @@
 namespace heathflow::installation {
 
 enum class LogForm { Text, KeyValue, Json };
-enum class LogLevel { Info, Warning, Error };
+// Trace: each step of each request, for one who looks for a cause.
+enum class LogLevel { Trace, Info, Warning, Error };
 
 struct LogSettings {
   LogForm form = LogForm::Text;
--- a/src/program/counters.cpp
+++ b/src/program/counters.cpp
@@ -5,14 +5,23 @@
 #include <utility>
 #include <vector>
 
+#include "routing/outcome.h"
+
 namespace heathflow::program {
 namespace {
 
+using invariants::nameOf;
+using routing::nameOf;
+
 using Entry = std::pair<const char*, std::uint64_t>;
 
-constexpr std::array<const char*, routing::kOutcomes> kOutcomeNames = {
-    "ok",        "error",      "full", "timed_out", "connect_failed", "reset",
-    "cancelled", "never_sent", "miss", "malformed", "withdrawn",      "stale"};
+// One entry of each value of an enumeration, by its name.
+template <typename Kind, std::size_t kCount>
+std::vector<Entry> byName(const std::array<std::uint64_t, kCount>& counts) {
+  std::vector<Entry> out;
+  for (std::size_t i = 0; i < kCount; ++i) out.emplace_back(nameOf(static_cast<Kind>(i)), counts[i]);
+  return out;
+}
 
 void addGroup(std::string& out, const char* group, const std::vector<Entry>& entries) {
   out += group;
@@ -38,9 +47,10 @@
             {"left", c.requestsLeft},
             {"malformed", c.requestsMalformed}});
   std::vector<Entry> outcomes = {{"made", c.attemptsMade}, {"written", c.attemptsWritten}};
-  for (std::size_t i = 0; i < kOutcomeNames.size(); ++i)
-    outcomes.emplace_back(kOutcomeNames[i], c.attemptsEnded[i]);
+  const std::vector<Entry> ended = byName<Outcome>(c.attemptsEnded);
+  outcomes.insert(outcomes.end(), ended.begin(), ended.end());
   addGroup(out, "attempts", outcomes);
+  addGroup(out, "retried_after", byName<Outcome>(c.retriedAfter));
   addGroup(out, "probes",
            {{"made", c.probesMade},
             {"answered", c.probesAnswered},
@@ -52,6 +62,7 @@
             {"rested", c.clientsRested},
             {"not_reading", c.clientsNotReading},
             {"protocol_errors", c.clientProtocolErrors}});
+  addGroup(out, "closed", byName<routing::CloseReason>(c.closed));
   addGroup(out, "members",
            {{"opened", c.connectionsOpened},
             {"reused", c.connectionsReused},
@@ -67,6 +78,7 @@
             {"expired", c.listsExpired}});
   addGroup(out, "descriptors", {{"now", c.descriptors}, {"peak", c.descriptorsPeak}});
   addGroup(out, "memory", {{"refusals", c.memoryRefusals}});
+  addGroup(out, "invariants", byName<invariants::Invariant>(c.broken));
   return out;
 }
 
--- a/src/program/gateway.cpp
+++ b/src/program/gateway.cpp
@@ -242,6 +242,7 @@
   watch_.startFrom(known.revision);
   router_.membersChanged(directory_.take(known, loop_.now(), false));
   router_.start();
+  router_.guard().startsTaking();
   // Where lists are pushed the module asks for nothing: on sockets a push comes over a watch all the same.
   if (!config_.settings.logic.mustAsk) watch_.subscribe();
 }
--- a/src/program/log.cpp
+++ b/src/program/log.cpp
@@ -13,7 +13,8 @@
 using installation::LogForm;
 using Level = spdlog::level::level_enum;
 
-constexpr std::array<const char*, 4> kNames = {"clients", "members", "discovery", "limits"};
+constexpr std::array<const char*, routing::kTopics> kNames = {"clients", "members",    "discovery",
+                                                              "limits",  "invariants", "requests"};
 
 // Said of the process itself.
 constexpr const char* kOwnTopic = "process";
@@ -109,6 +110,9 @@
   to.form = settings.form;
   to.logger = makeLogger(settings.form);
   switch (settings.level) {
+    case installation::LogLevel::Trace:
+      to.logger->set_level(Level::trace);
+      break;
     case installation::LogLevel::Info:
       break;
     case installation::LogLevel::Warning:
@@ -122,6 +126,10 @@
 
 void logLine(const std::string& text) { write(Level::info, kOwnTopic, text, {}); }
 
+void Log::trace(routing::Topic topic, const std::string& text, const routing::About& about) {
+  write(Level::trace, kNames[static_cast<std::size_t>(topic)], text, about);
+}
+
 void Log::note(routing::Topic topic, const std::string& text, const routing::About& about) {
   const auto index = static_cast<std::size_t>(topic);
   Bucket& bucket = buckets_[index];
--- a/src/program/log.h
+++ b/src/program/log.h
@@ -28,6 +28,8 @@
   // Guards the disk and the CPU of a process in trouble: the rest of a second's lines are only counted.
   using Observer::note;
   void note(routing::Topic topic, const std::string& text, const routing::About& about) override;
+  // Not limited: it is for one who looks for a cause, and asked for.
+  void trace(routing::Topic topic, const std::string& text, const routing::About& about) override;
 
  private:
   struct Bucket {
@@ -37,7 +39,7 @@
   };
   Seconds seconds_;
   unsigned linesPerSecond_ = installation::LogSettings{}.linesPerSecond;
-  std::array<Bucket, 4> buckets_{};
+  std::array<Bucket, routing::kTopics> buckets_{};
 };
 
 }  // namespace heathflow::program
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -69,6 +69,7 @@
   transport::EventLoop& loop = *loopHeld;
   program::Log log;
   log.setLinesPerSecond(installation.log.linesPerSecond);
+  log.tracing = installation.log.level == installation::LogLevel::Trace;
   const auto earlier = program::earlierLife(installation.snapshot, config.name);
   program::Gateway gateway(loop, config, log, installation, earlier);
   program::Keeper keeper(loop, installation.snapshot, earlier, gateway);
--- a/src/rig/child.cpp
+++ b/src/rig/child.cpp
@@ -116,6 +116,14 @@
   return events_;
 }
 
+std::vector<LogEvent> Child::linesWith(const std::string& text) {
+  std::vector<LogEvent> out;
+  for (const LogEvent& event : events()) {
+    if (event.text.find(text) != std::string::npos) out.push_back(event);
+  }
+  return out;
+}
+
 std::map<std::string, std::uint64_t> Child::counters() {
   std::map<std::string, std::uint64_t> out;
   readLog();
--- a/src/rig/child.h
+++ b/src/rig/child.h
@@ -60,6 +60,8 @@
   bool says(const std::string& what) { return log().find(what) != std::string::npos; }
   // Its lines, each with the time at which it was read here.
   const std::vector<LogEvent>& events();
+  // The newest life's lines and those before it that hold this text.
+  std::vector<LogEvent> linesWith(const std::string& text);
   // The newest word of each counter, by "group.name".
   std::map<std::string, std::uint64_t> counters();
   // Where its newest life serves; nothing before it says so.
--- a/src/rig/link.cpp
+++ b/src/rig/link.cpp
@@ -113,6 +113,7 @@
 };
 
 void StreamLink::Half::onInput() {
+  if (way == Way::Forth && link.onForth) link.onForth(stream.input().view());
   const auto arrival = link.weather_.streamArrival(link.now(), way, last);
   // Bytes behind held ones wait with them, so that their order stays.
   const bool behind = !held.empty() && held.back().first == 0;
--- a/src/rig/link.h
+++ b/src/rig/link.h
@@ -26,6 +26,8 @@
   ~StreamLink() override;
 
   const transport::Endpoint& endpoint() const { return endpoint_; }
+  // Hears of the bytes that come from who opened a connection, as they come.
+  std::function<void(std::string_view bytes)> onForth;
   // Where new connections are passed on to from now on.
   void leadTo(const transport::Endpoint& to) { to_ = to; }
   // A new schedule, from now on.
--- a/src/rig/load.h
+++ b/src/rig/load.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 
 #include "rig/arrivals.h"
@@ -28,14 +29,17 @@
 class Load {
  public:
   using OnAnswer = std::function<void(const Answer&)>;
+  // 'leaving': share of requests whose client leaves before their answer, drawn by the seed.
   Load(transport::EventLoop& loop, std::string driver, Arrivals arrivals, Micros patience, Micros bound,
-       Judge& judge, OnAnswer onAnswer);
+       Judge& judge, OnAnswer onAnswer, double leaving = 0, std::uint64_t seed = 1);
   ~Load();
 
   // Where the driver serves; nothing: nowhere at present, and what would be asked is not.
   void leadTo(std::optional<transport::Endpoint> endpoint);
   // Nothing new is sent there; what is out waits for its answer.
   void rest() { resting_ = true; }
+  // The driver ends: the connections that stand are used on, and no new ones are opened.
+  void keepOnly() { keeping_ = true; }
   // No further request.
   void stop();
 
@@ -64,6 +68,9 @@
   std::uint64_t sequence_ = 0;
   bool stopped_ = false;
   bool resting_ = false;
+  bool keeping_ = false;
+  double leaving_;
+  std::mt19937_64 random_;
 };
 
 }  // namespace heathflow::rig
--- a/src/rig/member.cpp
+++ b/src/rig/member.cpp
@@ -78,7 +78,9 @@
     case MemberModel::Verdict::Kind::Served:
       break;
   }
-  judge_.reached(id, name_, now, verdict.position);
+  std::optional<Micros> told;
+  if (comment->timeoutMs) told = *comment->timeoutMs * kMicrosPerMilli;
+  judge_.reached(id, name_, now, verdict.position, told);
   sayAt(verdict.at, line, [this, id, position = verdict.position] {
     judge_.ran(id, name_, loop_.now());
     return test::pg::row(id) + test::MemberStandIn::news(model_.primary(), position / kMicrosPerMilli) +
--- a/src/rig/scenario.h
+++ b/src/rig/scenario.h
@@ -26,8 +26,14 @@
     RestartMembers,  // they go, and are back cold
     DrainMembers,    // listed as draining for the time, then gone and back cold
     ListDown,
-    ListOlder,  // it comes back with an older state of itself
-    ListMoves   // to another address, which drivers are told by SIGHUP
+    ListOlder,      // it comes back with an older state of itself
+    ListMoves,      // to another address, which drivers are told by SIGHUP
+    ReloadDrivers,  // SIGHUP, with the configuration as it is
+    CutMembers,     // nothing gets through to or from them, and nobody is told
+    HangMembers,    // what is asked reaches them, and no answer comes back
+    SlowMembers,    // everything to and from them is late
+    ResetMembers,   // connections to them are reset
+    CutList         // the drivers' paths to the list service are cut
   };
   Kind kind = Kind::KillDrivers;
   Micros at = 0;
@@ -55,6 +61,11 @@
   double resetShare = 0;
   Micros listUpAt = 0;
   double perDriver = 0;
+  std::string faults;      // of drivers: the plan of their failing calls (faultshim/fault_plan.h)
+  double faultsShare = 1;  // so many of them have it
+  double leaving = 0;      // share of requests whose client leaves before the answer
+  double rough = 0;        // a second of each driver: clients that misbehave
+  bool hardStops = false;  // clients go on sending to a driver that was told to end, up to its kill
   double busyShare = 0;
   double busyTimes = 1;
   Micros patience = 1'500'000;
@@ -64,6 +75,10 @@
 };
 
 std::string_view scenarioSchema();
+// Whether the paths between processes are played too.
+bool needsPaths(const Scenario& scenario);
+// As XML, to be played again.
+std::string textOf(const Scenario& scenario);
 
 // Nothing where it can't be used; then 'problems' holds all that is wrong with it.
 std::optional<Scenario> loadScenario(const std::string& path, std::vector<xml::Problem>& problems);
--- /dev/null
+++ b/src/rig/soak.cpp
@@ -0,0 +1,177 @@
+#include "rig/soak.h"
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <string>
+
+#include "chance.h"
+#include "faultshim/fault_plan.h"
+
+namespace heathflow::rig {
+namespace {
+
+using faultshim::ClockStep;
+using faultshim::FaultPlan;
+using faultshim::FaultShare;
+using Shim = faultshim::Fault;
+using Is = Happening::Kind;
+
+constexpr Micros kMs = 1000;
+constexpr Micros kS = 1000 * kMs;
+// All are up before the first trouble, and the last one has its end within the play.
+constexpr Micros kQuietAtFirst = 3 * kS;
+constexpr Micros kQuietAtLast = 4 * kS;
+// Troubles of one moment begin within this.
+constexpr Micros kMoment = 1500 * kMs;
+// Members that come and go do so one event after the other.
+constexpr Micros kBetweenMembers = 5 * kS;
+
+class Drawing {
+ public:
+  Drawing(std::uint64_t seed, const SoakOptions& options)
+      : options_(options), random_(seed * 0x9E3779B97F4A7C15U + 1) {
+    out_.name = "soak-" + std::to_string(seed);
+    out_.seed = seed;
+    out_.length = options.seconds * kS;
+  }
+
+  Scenario draw() {
+    installation();
+    load();
+    moment_ = between(kQuietAtFirst, std::max(kQuietAtFirst + kMs, out_.length - kQuietAtLast - 3 * kS));
+    driverTrouble();
+    memberTrouble();
+    if (chance(0.7)) listTrouble();
+    for (int i = 0; i < 2; ++i) {
+      if (chance(0.6)) pathTrouble();
+    }
+    if (options_.failingCalls) out_.faults = callTrouble().text();
+    std::stable_sort(out_.happenings.begin(), out_.happenings.end(),
+                     [](const Happening& a, const Happening& b) { return a.at < b.at; });
+    return std::move(out_);
+  }
+
+ private:
+  bool chance(double share) { return evenly(random_()) < share; }
+  template <typename T>
+  T between(T least, T most) {
+    return least + static_cast<T>(evenly(random_()) * static_cast<double>(most - least));
+  }
+  template <typename T, std::size_t kCount>
+  T oneOf(const std::array<T, kCount>& values) {
+    return values[random_() % kCount];
+  }
+  // About the moment of most troubles, or anywhere.
+  Micros when() {
+    return chance(0.7) ? moment_ + between<Micros>(0, kMoment)
+                       : between(kQuietAtFirst, std::max(kQuietAtFirst + kMs, out_.length - kQuietAtLast));
+  }
+  void add(Is kind, Micros at, double share, Micros lasts) {
+    out_.happenings.push_back({kind, at, share, lasts});
+  }
+
+  void installation() {
+    out_.drivers = between(options_.driversLeast, options_.driversMost + 1);
+    out_.groups = between(2U, 5U);
+    out_.replicas = between(2U, 4U);
+    out_.member.warmUp = between(2 * kS, 6 * kS);
+    out_.member.lag = between(20 * kMs, 400 * kMs);
+    out_.snapshot = chance(0.5);
+    out_.known = chance(0.1) ? KnownList::None : chance(0.5) ? KnownList::Old : KnownList::Current;
+    out_.cold = chance(0.1);
+    out_.list.call = 500;
+    out_.list.line = between<Micros>(0, 1000);
+    out_.resetShare = chance(0.3) ? between(0.0, 0.2) : 0;
+  }
+
+  void load() {
+    out_.perDriver = between(6.0, 20.0);
+    out_.busyShare = 0.1;
+    out_.busyTimes = between(1.0, 6.0);
+    out_.patience = between(700 * kMs, 1900 * kMs);
+    out_.bound = between(1500 * kMs, 3000 * kMs);
+    out_.leaving = chance(0.7) ? between(0.0, 0.15) : 0;
+    out_.rough = chance(0.7) ? between(0.0, 1.0) : 0;
+    out_.hardStops = true;
+  }
+
+  void driverTrouble() {
+    if (chance(0.6)) {
+      add(Is::RollDrivers, when(), between(0.3, 1.0), between(kS, 8 * kS));
+    } else {
+      add(chance(0.5) ? Is::KillDrivers : Is::PauseDrivers, when(), between(0.1, 0.6),
+          between(300 * kMs, 2 * kS));
+    }
+    for (int i = 0; i < 3; ++i) {
+      if (chance(0.4)) add(Is::ReloadDrivers, when(), between(0.1, 1.0), 0);
+    }
+  }
+
+  void memberTrouble() {
+    constexpr std::array kKinds = {Is::DrainMembers, Is::RestartMembers, Is::KillPrimary};
+    Micros at = moment_ + between<Micros>(0, kMoment);
+    add(oneOf(kKinds), at, between(0.2, 0.6), between(300 * kMs, 2 * kS));
+    at += kBetweenMembers;
+    if (at < out_.length - kQuietAtLast)
+      add(oneOf(kKinds), at, between(0.2, 0.6), between(300 * kMs, 2 * kS));
+  }
+
+  void listTrouble() {
+    constexpr std::array kKinds = {Is::ListDown, Is::ListOlder, Is::ListMoves, Is::CutList};
+    add(oneOf(kKinds), when(), between(0.3, 1.0), between(300 * kMs, 4 * kS));
+  }
+
+  void pathTrouble() {
+    constexpr std::array kKinds = {Is::CutMembers, Is::HangMembers, Is::SlowMembers, Is::ResetMembers};
+    add(oneOf(kKinds), when(), between(0.1, 0.4), between(300 * kMs, 3 * kS));
+  }
+
+  FaultPlan callTrouble() {
+    FaultPlan plan;
+    const auto share = [&](double wanted, Shim fault, double least, double most, Micros until = 0) {
+      if (!chance(wanted)) return;
+      FaultShare one;
+      one.fault = fault;
+      one.share = between(least, most);
+      one.until = until;
+      plan.shares.push_back(one);
+    };
+    share(0.5, Shim::ShortRead, 0.002, 0.1);
+    share(0.4, Shim::ShortWrite, 0.002, 0.1);
+    share(0.4, Shim::Interrupt, 0.01, 0.2);
+    share(0.4, Shim::InterruptIo, 0.01, 0.2);
+    share(0.4, Shim::Socket, 0.01, 0.2);
+    share(0.3, Shim::Accept, 0.01, 0.2);
+    share(0.3, Shim::Connect, 0.01, 0.2);
+    share(0.3, Shim::Watch, 0.01, 0.1);
+    share(0.3, Shim::Create, 0.1, 0.5);
+    share(0.3, Shim::Listen, 0.1, 0.5);
+    share(0.3, Shim::Break, 0.0005, 0.005);
+    share(0.3, Shim::HoldUp, 0.0005, 0.003);
+    share(0.3, Shim::FileOpen, 0.05, 0.3);
+    share(0.3, Shim::FileRead, 0.05, 0.3);
+    share(0.5, Shim::FileWrite, 0.1, 0.6);
+    share(0.3, Shim::FileSync, 0.1, 0.6);
+    share(0.3, Shim::FileRename, 0.1, 0.6);
+    constexpr std::array<Micros, 6> kSteps = {kS, 10 * kS, 3600 * kS, -kS, -10 * kS, -3600 * kS};
+    // By a life's own time: also of one that starts in the midst of troubles.
+    for (int i = 0; i < 3; ++i) {
+      if (chance(0.5)) plan.steps.push_back(ClockStep{between<Micros>(kS, out_.length), oneOf(kSteps)});
+    }
+    return plan;
+  }
+
+  const SoakOptions& options_;
+  std::mt19937_64 random_;
+  Scenario out_;
+  Micros moment_ = 0;
+};
+
+}  // namespace
+
+Scenario soakScenario(std::uint64_t seed, const SoakOptions& options) {
+  return Drawing(seed, options).draw();
+}
+
+}  // namespace heathflow::rig
--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "routing/hash.h"
+#include "routing/outcome.h"
 #include "wallclock/positions.h"
 
 namespace heathflow::routing {
@@ -46,8 +47,9 @@
       stream_(loop, *this, kLimits),
       readTimeout_(loop,
                    [this] {
-                     if (!stream_.output().empty()) ++observer_.counters.clientsNotReading;
-                     over();
+                     const bool unread = !stream_.output().empty();
+                     if (unread) ++observer_.counters.clientsNotReading;
+                     over(unread ? CloseReason::NotReading : CloseReason::Rejected);
                    }),
       requestTimeout_(loop, [this] { onRequestTimeout(); }),
       nextTurn_(loop, [this] { process(); }),
@@ -68,14 +70,14 @@
 
 void ClientSession::onInput() {
   // A client that has closed waits for nothing: what it asked last is not begun.
-  if (stream_.hungUp()) return over();
+  if (stream_.hungUp()) return over(CloseReason::ByClient);
   noteArrivals();
   process();
   // A message for which there is no memory ends its connection, so that others get theirs.
   if (!stream_.stalled() || partSince_ == 0 || busy_ || over_ || lingering_) return;
   ++observer_.counters.memoryRefusals;
   note(Topic::Limits, "a client's message was turned away: no memory is left for it");
-  closeWithError(Reason::NoMemory, "no memory is left");
+  closeWithError(Reason::NoMemory, "no memory is left", CloseReason::NoMemory);
 }
 
 // Records when the bytes that were just read arrived. What had no room in the input may have waited in the
@@ -105,12 +107,13 @@
 // A client that closes has left, whatever it had asked.
 void ClientSession::onEnd(transport::StreamEnd) {
   if (lingering_ && !stream_.output().empty()) ++observer_.counters.clientsNotReading;
-  over();
+  over(CloseReason::ByClient);
 }
 
-void ClientSession::over() {
+void ClientSession::over(CloseReason why) {
   if (over_) return;
   over_ = true;
+  closing(why);
   stream_.close();
   readTimeout_.disarm();
   requestTimeout_.disarm();
@@ -121,6 +124,16 @@
   owner_.onSessionOver(*this);
 }
 
+void ClientSession::closing(CloseReason why) {
+  if (std::exchange(closed_, true)) return;
+  ++observer_.counters.closed[static_cast<std::size_t>(why)];
+  const bool fromHere = why != CloseReason::ByClient && why != CloseReason::Told;
+  router_.guard().closing(request_, fromHere && busy_);
+  if (observer_.tracing) trace("closed: " + std::string(nameOf(why)));
+}
+
+void ClientSession::trace(const std::string& text) const { observer_.trace(Topic::Clients, text, about()); }
+
 void ClientSession::process() {
   if (processing_) return;
   processing_ = true;
@@ -164,11 +177,11 @@
       if (draining_ && asked_ && stream_.input().empty()) closeIfIdle();
       return false;
     case Kind::Left:
-      over();
+      over(CloseReason::Told);
       return false;
     case Kind::Fatal:
       if (busy_) cancelRequest();
-      linger(kLingerTimeout);
+      linger(CloseReason::Violation, kLingerTimeout);
       return false;
     case Kind::Request:
       partSince_ = 0;
@@ -198,21 +211,23 @@
   finishRequest();
 }
 
-void ClientSession::note(Topic topic, const std::string& text) const {
-  About about;
-  about.connection = number_;
-  about.request = id_;
-  about.protocol = protocolName_;
-  about.family = group_;
-  observer_.note(topic, text, about);
+About ClientSession::about() const {
+  About out;
+  out.connection = number_;
+  out.request = id_;
+  out.protocol = protocolName_;
+  out.family = group_;
+  return out;
 }
 
+void ClientSession::note(Topic topic, const std::string& text) const { observer_.note(topic, text, about()); }
+
 // Passes the request at the front of the input on to the router. One that is not understood is failed, never
 // guessed at.
 void ClientSession::beginRequest() {
   asked_ = true;
   owner_.onSessionBusy(*this);
-  if (rejecting_) return closeWithError(Reason::TooMany, "too many clients");
+  if (rejecting_) return closeWithError(Reason::TooMany, "too many clients", CloseReason::Rejected);
   std::string_view problem;
   group_.reset();
   const auto asked = side_->read(wire(), problem);
@@ -233,6 +248,7 @@
   request_ = 0;
   const Request request = requestOf(*asked);
   deadline_ = request.deadline;
+  router_.guard().takenOn(request_, lingering_ || over_);
   router_.submit(*this, request, protocol_, asked->timeout, request_);
 }
 
@@ -346,14 +362,15 @@
   if (!stream_.output().empty()) readTimeout_.arm(std::max(loop_.now(), deadline_) + kReadTimeout);
 }
 
-void ClientSession::closeWithError(Reason reason, std::string_view message) {
+void ClientSession::closeWithError(Reason reason, std::string_view message, CloseReason why) {
   side_->fatalError(reason, message, stream_.output());
-  linger(kLingerTimeout);
+  linger(why, kLingerTimeout);
 }
 
 // The orderly close of every connection. The client can still read what was sent, and a request that crosses
 // the close is neither sent on nor answered by a reset: its client sends it again on another connection.
-void ClientSession::linger(Micros limit) {
+void ClientSession::linger(CloseReason why, Micros limit) {
+  closing(why);
   lingering_ = true;
   requestTimeout_.disarm();
   readTimeout_.disarm();
@@ -364,11 +381,11 @@
 // The client has sent nothing, or has not finished a message, in time.
 void ClientSession::onRequestTimeout() {
   if (lingering_ || over_ || (busy_ && partSince_ == 0)) return;
-  if (stream_.input().empty()) return linger(kReadTimeout);
+  if (stream_.input().empty()) return linger(CloseReason::Unfinished, kReadTimeout);
   if (busy_) cancelRequest();
   ++observer_.counters.clientProtocolErrors;
   note(Topic::Clients, "a message was not finished in time");
-  closeWithError(Reason::Unfinished, "the message was not finished in time");
+  closeWithError(Reason::Unfinished, "the message was not finished in time", CloseReason::Unfinished);
 }
 
 void ClientSession::rejectConnection() {
@@ -382,7 +399,7 @@
   if (asked_) {
     closeIfIdle();
   } else if (closeNewcomers && mayClose()) {
-    closeWithError(Reason::ShuttingDown, "this gateway ends");
+    closeWithError(Reason::ShuttingDown, "this gateway ends", CloseReason::Rested);
   }
 }
 
@@ -396,7 +413,7 @@
 
 bool ClientSession::closeIfIdle() {
   if (!mayClose()) return false;
-  linger(kReadTimeout);
+  linger(CloseReason::Rested, kReadTimeout);
   return true;
 }
 
--- a/src/routing/client_session.h
+++ b/src/routing/client_session.h
@@ -73,7 +73,7 @@
   // not go on. Says whether it did.
   bool closeIfIdle();
   // Closes a lingering connection at once, to free its descriptor.
-  void closeLingering() { over(); }
+  void closeLingering() { over(CloseReason::Lingered); }
   // Whether the client has ever sent something that could be understood.
   bool known() const { return known_; }
   // Whether it has asked more than once what could be understood.
@@ -82,6 +82,7 @@
   Micros restingSince() const { return restingSince_; }
 
   std::string_view wire() const override;
+  std::string_view name() const override { return id_; }
   bool hasRoom(std::size_t size) const override;
   bool passOn(const protocol::Answer& answer, std::string_view bytes) override;
   void onRoom() override { process(); }
@@ -102,16 +103,20 @@
   bool handleStep(const protocol::ClientSide::Step& step);
   void rejectRequest(std::string_view message);
   void cancelRequest();
+  About about() const;
   void note(Topic topic, const std::string& text) const;
+  void trace(const std::string& text) const;
   bool fits(const protocol::Answer& answer);
   void onRequestTimeout();
   void onAnswered();
   void finishRequest();
   // Sends a fatal error and closes the connection in order.
-  void closeWithError(protocol::ClientSide::Reason reason, std::string_view message);
-  void linger(Micros limit);
+  void closeWithError(protocol::ClientSide::Reason reason, std::string_view message, CloseReason why);
+  void linger(CloseReason why, Micros limit);
   bool mayClose() const;
-  void over();
+  void over(CloseReason why);
+  // Tells the guard that this connection is closed from here, and notes why.
+  void closing(CloseReason why);
 
   transport::EventLoop& loop_;
   ClientSessionOwner& owner_;
@@ -145,6 +150,7 @@
   bool rejecting_ = false;      // no request is served
   bool lingering_ = false;      // nothing more is read; what is written still goes out
   bool over_ = false;           // the connection has ended
+  bool closed_ = false;         // why it is closed has been counted
 };
 
 }  // namespace heathflow::routing
--- a/src/routing/directory.cpp
+++ b/src/routing/directory.cpp
@@ -58,6 +58,17 @@
   return places;
 }
 
+void Directory::traceChange(Known& entry, const protocol::ListedMember& listed) const {
+  using Phase = protocol::ListedMember::Phase;
+  if (entry.phase == listed.phase) return;
+  entry.phase = listed.phase;
+  if (!observer_.tracing) return;
+  const char* state = listed.phase == Phase::Ready  ? "ready"
+                      : listed.phase == Phase::Gone ? "gone"
+                                                    : "draining";
+  observer_.trace(Topic::Members, listed.id + " at " + listed.hostPort + " is " + state, {});
+}
+
 MembersChanged Directory::take(const protocol::MemberList& list, transport::Micros now, bool confirmed) {
   using Phase = protocol::ListedMember::Phase;
   launches_.beginList(now, confirmed);
@@ -72,6 +83,7 @@
     if (gone && !byName_.contains(listed.id)) continue;
     Known& entry = known(listed.id);
     entry.gone = gone;
+    traceChange(entry, listed);
     if (!gone) {
       const auto endpoint = transport::parseEndpoint(listed.hostPort);
       if (!endpoint) {
--- a/src/routing/directory.h
+++ b/src/routing/directory.h
@@ -37,11 +37,13 @@
   struct Known {
     MemberId id = 0;
     bool gone = false;
+    std::optional<protocol::ListedMember::Phase> phase;  // as last told
   };
   Known& known(const std::string& name);
   std::vector<std::optional<transport::Endpoint>> placesOf(const protocol::ListedMember& listed,
                                                            const transport::Endpoint& endpoint) const;
   void forgetGone();
+  void traceChange(Known& entry, const protocol::ListedMember& listed) const;
 
   MemberPool& pool_;
   Doors doors_;
--- a/src/routing/member_pool.cpp
+++ b/src/routing/member_pool.cpp
@@ -48,6 +48,13 @@
   return at == found->second.end() ? 0 : static_cast<std::size_t>(at - found->second.begin());
 }
 
+std::string MemberPool::whereOf(MemberId member) const {
+  const auto found = places_.find(member);
+  if (found == places_.end()) return "nowhere";
+  const auto& endpoint = found->second[protocolFor(member)].endpoint;
+  return endpoint ? toText(*endpoint) : "nowhere";
+}
+
 MemberPool::Started MemberPool::start(MemberId member, std::size_t protocol, Exchange& exchange,
                                       MemberConnection*& connection, bool onNewOne) {
   const auto found = places_.find(member);
--- a/src/routing/member_pool.h
+++ b/src/routing/member_pool.h
@@ -5,6 +5,7 @@
 #include <list>
 #include <memory>
 #include <optional>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -41,6 +42,8 @@
                 bool onNewOne = false);
   // The first protocol that the member is reached in.
   std::size_t protocolFor(MemberId member) const;
+  // Where it is reached, as text for the log.
+  std::string whereOf(MemberId member) const;
   std::size_t protocols() const { return protocols_.size(); }
   // Closes the idle connections to a member that have been so since that time or before.
   void closeIdle(MemberId member, Micros idleSince = std::numeric_limits<Micros>::max());
--- a/src/routing/observer.h
+++ b/src/routing/observer.h
@@ -8,12 +8,27 @@
 #include <string>
 #include <string_view>
 
+#include "invariants/guard.h"
 #include "sparing/ledger.h"
 
 namespace heathflow::routing {
 
 inline constexpr std::size_t kOutcomes = 12;  // of an attempt, in the order of Outcome
 
+// Why a client's connection ended.
+enum class CloseReason {
+  ByClient,    // it closed or broke
+  Rested,      // idle, and its place or the end of this process wanted it
+  Told,        // it said that it leaves
+  NotReading,  // it left its answers unread
+  Unfinished,  // it sent nothing, or half a message, in time
+  Rejected,    // there were too many clients
+  NoMemory,
+  Violation,  // it did not keep to the protocol
+  Lingered    // a close in order came to its end, or its descriptor was wanted
+};
+inline constexpr std::size_t kCloseReasons = 9;
+
 struct Counters {
   // Towards clients.
   std::uint64_t clientsAccepted = 0;
@@ -27,6 +42,9 @@
   std::uint64_t requestsFailed = 0;
   std::uint64_t requestsMalformed = 0;  // failed here, for their comment can't be read
   std::uint64_t requestsLeft = 0;       // by their clients
+  std::array<std::uint64_t, kCloseReasons> closed{};
+  std::array<std::uint64_t, kOutcomes> retriedAfter{};  // by the outcome of the attempt before
+  std::array<std::uint64_t, invariants::kInvariants> broken{};
   // Towards members.
   std::uint64_t attemptsMade = 0;
   std::array<std::uint64_t, kOutcomes> attemptsEnded{};
@@ -55,7 +73,8 @@
   std::uint64_t descriptorsPeak = 0;
 };
 
-enum class Topic { Clients, Members, Discovery, Limits };
+enum class Topic { Clients, Members, Discovery, Limits, Invariants, Requests };
+inline constexpr std::size_t kTopics = 6;
 
 // Whom a note is about, as far as that is known.
 struct About {
@@ -70,6 +89,10 @@
   virtual ~Observer() = default;
   virtual void note(Topic topic, const std::string& text, const About& about) = 0;
   void note(Topic topic, const std::string& text) { note(topic, text, {}); }
+  // Each step of each request and each change of a member's state, where it is asked for; else it costs
+  // nothing.
+  virtual void trace(Topic, const std::string&, const About&) {}
+  bool tracing = false;
 
   Counters counters;
   sparing::Ledger ledger;
--- a/src/routing/outcome.cpp
+++ b/src/routing/outcome.cpp
@@ -1,5 +1,6 @@
 #include "routing/outcome.h"
 
+#include <array>
 #include <limits>
 
 #include "protocol/load_report.h"
@@ -22,8 +23,23 @@
   return field ? protocol::parseDecimal(*field) : std::nullopt;
 }
 
+constexpr std::array<const char*, kOutcomes> kOutcomeNames = {
+    "ok",        "error",      "full", "timed_out", "connect_failed", "reset",
+    "cancelled", "never_sent", "miss", "malformed", "withdrawn",      "stale"};
+constexpr std::array<const char*, kCloseReasons> kCloseNames = {"by_client",   "rested",     "told",
+                                                                "not_reading", "unfinished", "rejected",
+                                                                "no_memory",   "violation",  "lingered"};
+
 }  // namespace
 
+const char* nameOf(Outcome outcome) { return kOutcomeNames.at(static_cast<std::size_t>(outcome)); }
+const char* nameOf(CloseReason reason) { return kCloseNames.at(static_cast<std::size_t>(reason)); }
+
+bool mayHaveRun(Outcome outcome) {
+  return outcome != Outcome::Full && outcome != Outcome::ConnectFailed && outcome != Outcome::NeverSent &&
+         outcome != Outcome::Miss;
+}
+
 Outcome outcomeOf(const ExchangeEnd& end) {
   if (end.cause == ExchangeEnd::Cause::Unwanted) return Outcome::NeverSent;
   // Whatever ends it before its last byte is written, it has not run.
--- a/src/routing/outcome.h
+++ b/src/routing/outcome.h
@@ -5,10 +5,15 @@
 
 #include "logic.h"
 #include "routing/member_connection.h"
+#include "routing/observer.h"
 #include "settings/settings.h"
 
 namespace heathflow::routing {
 
+const char* nameOf(Outcome outcome);
+const char* nameOf(CloseReason reason);
+// Whether an attempt that ended so may have had its effect, or may yet.
+bool mayHaveRun(Outcome outcome);
 Outcome outcomeOf(const ExchangeEnd& end);
 
 // The role, position and report that came with an answer.
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -24,11 +24,15 @@
 
 using transport::kMicrosPerMilli;
 
+// What is read in one turn of the loop may still be written in it.
+constexpr Micros kDrainGraceLeast = 50'000;
+
 }  // namespace
 
 struct Router::RequestState {
   RequestId id = 0;
   Requester* requester = nullptr;  // null once it has its answer or has left
+  std::string name;                // where each step is logged
   std::size_t protocol = 0;
   protocol::Slice timeout;
   Micros deadline = 0;
@@ -56,8 +60,10 @@
       router.post(AttemptConnected{request.id, index});
       if (recalled || request.requester == nullptr) return false;
     }
-    ++router.observer_.counters.attemptsWritten;
     const Micros left = std::max<Micros>(1, (until - router.loop_.now()) / kMicrosPerMilli);
+    if (!router.guard_.maySend(router.loop_.now(), {request.id, index, member, left * kMicrosPerMilli}))
+      return false;
+    ++router.observer_.counters.attemptsWritten;
     return side.ask(request.requester->wire(), request.timeout, left, out);
   }
   bool onPart(const protocol::Answer& answer, std::string_view bytes) override {
@@ -82,8 +88,9 @@
   Micros waited = 0;       // and before that
   MemberConnection* connection = nullptr;
   bool ended = false;
-  bool asking = false;    // whether it may still be written
-  bool recalled = false;  // it may not
+  Outcome outcome = Outcome::Cancelled;  // once it has ended
+  bool asking = false;                   // whether it may still be written
+  bool recalled = false;                 // it may not
   transport::Timer limit;
 };
 
@@ -117,10 +124,43 @@
       pool_(pool),
       observer_(observer),
       ringTimer_(loop, [this] { ringDue(); }),
+      guard_(settings_.logic, std::max(settings_.drainGrace, kDrainGraceLeast),
+             [this](invariants::Invariant invariant, RequestId request) {
+               invariantBroken(invariant, request);
+             }),
       logic_(settings_.logic, seed, loop.now(), actions_) {}
 
 Router::~Router() = default;
 
+void Router::membersChanged(MembersChanged event) {
+  guard_.listTaken(loop_.now(), event);
+  post(std::move(event));
+}
+
+void Router::invariantBroken(invariants::Invariant invariant, RequestId request) {
+  ++observer_.counters.broken[static_cast<std::size_t>(invariant)];
+  const auto found = requests_.find(request);
+  const Requester* requester = found == requests_.end() ? nullptr : found->second->requester;
+  About about;
+  if (requester != nullptr) about.request = requester->name();
+  observer_.note(Topic::Invariants,
+                 std::string("broken: ") + invariants::nameOf(invariant) + " request " +
+                     std::string(about.request.empty() ? "unknown" : about.request),
+                 about);
+}
+
+void Router::trace(const RequestState& state, const std::string& text) const {
+  About about;
+  about.request = state.name;
+  observer_.trace(Topic::Requests, state.name + ": " + text, about);
+}
+
+void Router::traceEnd(RequestId id, const char* how, Hindrance why) const {
+  const auto found = requests_.find(id);
+  if (!observer_.tracing || found == requests_.end() || found->second->requester == nullptr) return;
+  trace(*found->second, std::string(how) + " for " + std::string(sparing::nameOf(why)));
+}
+
 void Router::post(Event event) {
   events_.push_back(std::move(event));
   run();
@@ -147,15 +187,19 @@
                  [&](const Attempt& a) { attempt(a); },
                  [&](const Cancel& a) { cancel(a); },
                  [&](const Refuse& a) {
+                   traceEnd(a.request, "refused", a.why);
                    Requester* requester = settle(a.request, observer_.counters.requestsRefused);
                    if (requester == nullptr) return;
                    observer_.ledger.givenUp(a.why);
+                   guard_.answered(a.request, invariants::Guard::Final::Refused);
                    requester->refused(a.retryAfter);
                  },
                  [&](const Fail& a) {
+                   traceEnd(a.request, "failed", a.why);
                    Requester* requester = settle(a.request, observer_.counters.requestsFailed);
                    if (requester == nullptr) return;
                    observer_.ledger.givenUp(a.why);
+                   guard_.answered(a.request, invariants::Guard::Final::Failed);
                    requester->failed();
                  },
                  [&](const Probe& a) { probe(a); },
@@ -199,6 +243,12 @@
   state->protocol = protocol;
   state->timeout = timeout;
   state->deadline = request.deadline;
+  if (observer_.tracing) {
+    state->name = requester.name();
+    trace(*state, "taken, class " + settings_.classNames[request.classIndex] + ", " +
+                      std::to_string((request.deadline - loop_.now()) / kMicrosPerMilli) + " ms left");
+  }
+  guard_.taken(request);
   requests_.emplace(request.id, std::move(state));
   ++observer_.counters.requestsTaken;
   post(RequestArrived{request});
@@ -248,6 +298,9 @@
 }
 
 void Router::left(RequestId request) {
+  const auto found = requests_.find(request);
+  if (observer_.tracing && found != requests_.end()) trace(*found->second, "its client left");
+  guard_.left(request);
   if (settle(request, observer_.counters.requestsLeft) != nullptr) post(ClientLeft{request});
 }
 
@@ -260,6 +313,7 @@
 void Router::eraseIfDone(RequestId id) {
   const auto found = requests_.find(id);
   if (found == requests_.end() || found->second->requester != nullptr || found->second->pending != 0) return;
+  guard_.forget(id);
   loop_.retire(std::move(found->second));
   requests_.erase(found);
 }
@@ -273,6 +327,12 @@
   AttemptState& attempt = *state.attempts.back();
   ++state.pending;
   ++observer_.counters.attemptsMade;
+  if (state.attempts.size() > 1) {
+    const Outcome before = state.attempts[state.attempts.size() - 2]->outcome;
+    ++observer_.counters.retriedAfter[static_cast<std::size_t>(before)];
+  }
+  if (observer_.tracing)
+    trace(state, "attempt " + std::to_string(attempt.index) + " at " + pool_.whereOf(action.member));
   observer_.ledger.sent(action.member);
   attempt.asPrimary = action.asPrimary;
   attempt.until = action.abandonAt == 0 ? state.deadline : std::min(action.abandonAt, state.deadline);
@@ -331,6 +391,10 @@
   const bool fell = attempt.asPrimary && event.role == Role::Replica && state.bound != &attempt;
   if (outcome == Outcome::Ok && fell) outcome = Outcome::Stale;
   ++observer_.counters.attemptsEnded[static_cast<std::size_t>(outcome)];
+  attempt.outcome = outcome;
+  if (observer_.tracing)
+    trace(state, "attempt " + std::to_string(attempt.index) + " ended: " + nameOf(outcome) + " after " +
+                     std::to_string((loop_.now() - attempt.startedAt) / kMicrosPerMilli) + " ms");
   event.request = id;
   event.attempt = attempt.index;
   event.member = attempt.member;
@@ -340,6 +404,7 @@
   if (outcome == Outcome::Ok)
     observer_.counters.answersTook += static_cast<std::uint64_t>(std::max<Micros>(0, event.elapsed));
   event.undone = undone || (end != nullptr && end->undone);
+  guard_.ended(id, attempt.index, mayHaveRun(outcome) && !event.undone);
   // A member that has no room for a connection says so.
   event.mayBeFull = end != nullptr && end->cause == ExchangeEnd::Cause::TurnedDown;
   --state.pending;
@@ -348,6 +413,7 @@
   Requester* requester = stray ? nullptr : state.requester;
   if (outcome == Outcome::Ok && requester != nullptr) {
     ++observer_.counters.requestsServed;
+    guard_.answered(id, invariants::Guard::Final::Served);
     finish(state);
   }
   event.finished = !stray && (requester == nullptr || outcome == Outcome::Ok);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "invariants/guard.h"
 #include "logic.h"
 #include "protocol/wire.h"
 #include "routing/member_pool.h"
@@ -24,6 +25,8 @@
   virtual ~Requester() = default;
   // What has come of the request and was not yet let go, for as long as there is no final answer.
   virtual std::string_view wire() const = 0;
+  // The request's id, for the log.
+  virtual std::string_view name() const = 0;
   // Whether so many bytes of its answer can be taken at present. Where not, Router::resume() says when.
   virtual bool hasRoom(std::size_t size) const = 0;
   // A part of the answer: from here on no other member's answer will do. False: there is no memory for it.
@@ -46,7 +49,7 @@
   // Runs what the module wanted at its start.
   void start() { run(); }
 
-  void membersChanged(MembersChanged event) { post(std::move(event)); }
+  void membersChanged(MembersChanged event);
   void listExpired(ListExpired event) { post(event); }
   // 'protocol': of the members' side, by the pool's index. 'timeout': where the request tells for how long
   // the client waits; it is rewritten for each attempt. The id is set before anything else happens, for the
@@ -64,6 +67,8 @@
   void stopping(Micros by) { post(Stopping{by}); }
 
   const settings::InstanceSettings& settings() const { return settings_; }
+  // What checks this process against the rules.
+  invariants::Guard& guard() { return guard_; }
 
  private:
   struct AttemptState;
@@ -93,6 +98,9 @@
   Requester* settle(RequestId id, std::uint64_t& counter);
   void eraseIfDone(RequestId id);
   void ringDue();
+  void invariantBroken(invariants::Invariant invariant, RequestId request);
+  void trace(const RequestState& state, const std::string& text) const;
+  void traceEnd(RequestId id, const char* how, Hindrance why) const;
 
   transport::EventLoop& loop_;
   settings::InstanceSettings settings_;
@@ -108,6 +116,7 @@
   RequestId lastId_ = 0;
   std::uint64_t ringOrder_ = 0;
   bool running_ = false;
+  invariants::Guard guard_;
   Logic logic_;
 };
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -178,6 +178,7 @@
   const Json& contract = need(json, "Contract");
   logic.askWithin = readOr<Micros>(contract, "AskWithin", 0);
   logic.goneIsAdvice = readOr<bool>(contract, "GoneIsAdvice", false);
+  out.drainGrace = readOr<Micros>(contract, "DrainGrace", 0);
   logic.answerSlack = readOr<Micros>(contract, "AnswerSlack", 0);
   logic.coldFrom = readOr<double>(contract, "ColdFrom", 1.0);
   logic.warmUp = readOr<Micros>(contract, "WarmUp", 0);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -27,7 +27,8 @@
   ReportLayout report;
   Micros positionZero = 0;
   std::vector<std::string> classNames;
-  Micros idleTime = 0;  // after which members close an idle connection; 0: never
+  Micros idleTime = 0;    // after which members close an idle connection; 0: never
+  Micros drainGrace = 0;  // for how long a member may be sent to after it was told to drain
   // What the text does not say, and what is taken in its place: a sentence each.
   std::vector<std::string> notes;
 };
--- a/src/tools/rig_main.cpp
+++ b/src/tools/rig_main.cpp
@@ -20,6 +20,7 @@
 #include "rig/scale_plan.h"
 #include "rig/scenario.h"
 #include "rig/site.h"
+#include "rig/soak.h"
 
 namespace {
 
@@ -94,17 +95,18 @@
   return scenario;
 }
 
-int run(const std::string& file, const std::string& program, const std::string& out, bool quiet,
+int run(const std::string& file, const rig::Programs& programs, const std::string& out, bool quiet,
         bool numbers) {
   const auto scenario = load(file);
   if (!scenario) return kUnusable;
+  if (!programs.traces.empty()) std::filesystem::create_directories(programs.traces);
   raiseDescriptors();
   transport::EventLoop loop;
   bool ended = false;
   program::Signals signals(loop, [&](int signal) { ended = ended || signal == SIGINT || signal == SIGTERM; });
   rig::Outcomes outcomes;
   {
-    rig::Site site(loop, *scenario, program);
+    rig::Site site(loop, *scenario, programs);
     outcomes = site.play([&](std::size_t number, const rig::Second& second) {
       if (!quiet && !numbers) row(number, second);
       return !ended;
@@ -132,6 +134,54 @@
   return outcomes.rulesKept() ? kGood : kBroken;
 }
 
+struct SoakRange {
+  std::uint64_t from = 1;
+  std::uint64_t count = 10;
+};
+
+// One scenario of the soak: a line of its own, and where a rule broke all that is needed to follow it.
+bool soakOnce(std::uint64_t seed, const rig::SoakOptions& options, rig::Programs programs,
+              const std::string& out) {
+  const rig::Scenario scenario = rig::soakScenario(seed, options);
+  programs.traces = out + "/" + scenario.name;
+  std::filesystem::create_directories(programs.traces);
+  std::ofstream(programs.traces + "/scenario.xml") << rig::textOf(scenario);
+  rig::Outcomes outcomes;
+  {
+    transport::EventLoop loop;
+    rig::Site site(loop, scenario, programs);
+    outcomes = site.play();
+  }
+  const bool kept = outcomes.rulesKept();
+  std::printf(
+      "%llu: %u drivers, %zu troubles; %llu asked, %llu served, %llu refused, %llu failed; %s; late %lld "
+      "ms\n",
+      static_cast<unsigned long long>(seed), scenario.drivers, scenario.happenings.size(),
+      static_cast<unsigned long long>(outcomes.asked), static_cast<unsigned long long>(outcomes.served),
+      static_cast<unsigned long long>(outcomes.refused), static_cast<unsigned long long>(outcomes.failed),
+      kept ? "all rules kept" : "BROKEN", static_cast<long long>(outcomes.late / 1000));
+  std::ofstream(programs.traces + "/result.txt") << outcomes.table();
+  if (kept) {
+    std::filesystem::remove_all(programs.traces);
+  } else {
+    std::printf("%s", outcomes.table().c_str());
+  }
+  std::fflush(stdout);
+  return kept;
+}
+
+int soak(const SoakRange& range, const rig::SoakOptions& options, const rig::Programs& programs,
+         const std::string& out) {
+  raiseDescriptors();
+  std::uint64_t broken = 0;
+  for (std::uint64_t seed = range.from; seed < range.from + range.count; ++seed) {
+    if (!soakOnce(seed, options, programs, out)) ++broken;
+  }
+  std::printf("%llu of %llu seeds broke a rule\n", static_cast<unsigned long long>(broken),
+              static_cast<unsigned long long>(range.count));
+  return broken == 0 ? kGood : kBroken;
+}
+
 int check(const std::string& file) {
   const auto scenario = load(file);
   if (!scenario) return kUnusable;
@@ -225,6 +275,29 @@
   runs->add_option("--out", out, "A folder for results (JSON, columns, SVG)");
   runs->add_flag("--quiet", quiet, "No row for each second");
   runs->add_flag("--numbers", numbers, "One line of numbers for scripts, and nothing else");
+  rig::Programs programs;
+  programs.faults = (std::filesystem::path(argv[0]).parent_path() / "libheathflow_faults.so").string();
+  runs->add_option("--faults", programs.faults, "The library of failing calls")->capture_default_str();
+  runs->add_option("--traces", programs.traces,
+                   "A folder for each driver's log, with each step of each request");
+  SoakRange range;
+  rig::SoakOptions soakOptions;
+  std::string soakOut = "found/soak";
+  CLI::App* soaks =
+      app.add_subcommand("soak", "Play scenarios at random; 1: a rule was broken in one of them");
+  soaks->add_option("--from", range.from, "The first seed")->capture_default_str();
+  soaks->add_option("--count", range.count, "So many seeds")->capture_default_str();
+  soaks->add_option("--seconds", soakOptions.seconds, "Of each")
+      ->check(CLI::Range(10, 120))
+      ->capture_default_str();
+  soaks->add_option("--drivers", soakOptions.driversMost, "At the most")
+      ->check(CLI::Range(10, 60))
+      ->capture_default_str();
+  soaks->add_flag("!--calls-go-well", soakOptions.failingCalls,
+                  "No system call fails, and no clock is stepped");
+  soaks->add_option("--program", program, "The driver")->capture_default_str();
+  soaks->add_option("--faults", programs.faults, "The library of failing calls")->capture_default_str();
+  soaks->add_option("--out", soakOut, "A folder for scenarios and logs of what broke")->capture_default_str();
   CLI::App* scales =
       app.add_subcommand("scale", "Measure what grows with the size; 1: a step was not reached");
   scales->add_option("PLAN", file, "XML, see scenarios/scale/scale.xml")->required();
@@ -239,7 +312,9 @@
   }
   try {
     if (scales->parsed()) return scale(file, program, out);
-    return runs->parsed() ? run(file, program, out, quiet, numbers) : check(file);
+    programs.driver = program;
+    if (soaks->parsed()) return soak(range, soakOptions, programs, soakOut);
+    return runs->parsed() ? run(file, programs, out, quiet, numbers) : check(file);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "%s\n", error.what());
     return kUnusable;
--- a/src/transport/stream.h
+++ b/src/transport/stream.h
@@ -48,6 +48,10 @@
   bool closed() const { return !fd_; }
   // Hands as much of the output to the kernel as it takes.
   void flush();
+  // No more is sent behind what was; reading goes on.
+  void endSending() {
+    if (open()) transport::endSending(fd_.get());
+  }
   // Whether there was more to read than the input, or the memory of all, has room for.
   bool stalled() const { return stalled_; }
   // Whether the peer has ended its side or the connection broke: nothing comes behind what has come by now.
