--- a/tests/start_retry_test.cpp
+++ b/tests/start_retry_test.cpp
@@ -3,9 +3,11 @@
 #include <signal.h>
 
 #include <array>
+#include <fstream>
 
 #include "program_process.h"
 #include "standins/gateway_rig.h"
+#include "standins/temporary_file.h"
 
 namespace heathflow::test {
 namespace {
@@ -66,6 +68,19 @@
   EXPECT_EQ(process.status(), 0) << process.log();
 }
 
+// The same while the settings of the installation are read, which comes first.
+TEST(EarlySignal, WaitsWhileTheSettingsAreRead) {
+  StartingSite site;
+  TemporaryFolder folder;
+  const std::string settings = folder.path() + "/heathflow.xml";
+  std::ofstream(settings) << "<heathflow xmlns=\"urn:heathflow:settings:1\" version=\"1\"/>\n";
+  Process process(site.config(), {"serve", "--config", settings}, failing("file-open=1#6"));
+  ASSERT_TRUE(site.until([&] { return process.says("is tried again") || process.over(); }));
+  process.signal(SIGHUP);
+  ASSERT_TRUE(site.until([&] { return process.says("was read again") || process.over(); }));
+  EXPECT_FALSE(process.over()) << process.log();
+}
+
 // What the reading of a new configuration fails for at present is tried again too.
 TEST(Reload, IsTriedAgainWhereTheFileCantBeReadForAMoment) {
   StartingSite site;
