Signals are held before anything else of a serving process is done

Cause: serve() held them only behind the reading of the settings (src/program/main.cpp, serveWith); a SIGHUP in between ended the process by its default effect. Change: serveWith holds them first, with settings and without.

--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -51,7 +51,6 @@
 }
 
 int serve(const installation::Installation& installation, const std::string& settingsFile = {}) {
-  program::holdSignals();
   program::Config config;
   if (!readConfiguration(installation, config)) return kUnusable;
   std::vector<installation::Problem> problems;
@@ -111,7 +110,9 @@
   return kGood;
 }
 
+// Signals are held first of all: whoever starts a driver may send it one at any time.
 int serveWith(const std::string& settingsFile) {
+  program::holdSignals();
   installation::Installation installation;
   if (!settingsFile.empty()) {
     std::vector<installation::Problem> problems;
@@ -187,7 +188,7 @@
 
 int main(int argc, char** argv) {
   try {
-    return argc == 1 ? serve({}) : commandLine(argc, argv);
+    return argc == 1 ? serveWith({}) : commandLine(argc, argv);
   } catch (const std::exception& error) {
     program::logLine(error.what());
     return kFailed;
