--- a/src/rig/site.h
+++ b/src/rig/site.h
@@ -130,7 +130,9 @@
   void later(Micros after, std::function<void()> what);
   void note(const std::string& text);
   void answered(const Answer& answer);
-  void called(std::size_t door, const ListModel::Answer& answer);
+  // 'overPath': the service's answer takes the path that may be cut.
+  void called(std::size_t door, const ListModel::Answer& answer, bool overPath);
+  void told(const std::string& driver, const std::vector<std::string>& draining);
   void closeSecond();
   void gatherCounters();
   Outcomes finish();
@@ -146,6 +148,11 @@
   std::vector<std::unique_ptr<Member>> members_;
   std::vector<std::unique_ptr<StreamLink>> memberPaths_;  // to each member, where paths are played
   std::vector<std::unique_ptr<StreamLink>> listPaths_;    // of each driver to the list service
+  struct Cut {
+    Micros from = 0;
+    Micros until = 0;
+  };
+  std::vector<Cut> listCuts_;  // the newest of each driver's path
   std::vector<std::unique_ptr<Driver>> drivers_;
   std::map<std::string, std::string> phases_;  // of members that are not ready
   Later later_;
