--- a/src/rig/soak.cpp
+++ b/src/rig/soak.cpp
@@ -76,7 +76,7 @@
     out_.groups = between(2U, 5U);
     out_.replicas = between(2U, 4U);
     out_.member.warmUp = between(2 * kS, 6 * kS);
-    out_.member.lag = between(20 * kMs, 400 * kMs);
+    out_.member.lag = between(20 * kMs, 800 * kMs);
     out_.snapshot = chance(0.5);
     out_.known = chance(0.1) ? KnownList::None : chance(0.5) ? KnownList::Old : KnownList::Current;
     out_.cold = chance(0.1);
@@ -90,7 +90,7 @@
     out_.busyShare = 0.1;
     out_.busyTimes = between(1.0, 6.0);
     out_.patience = between(700 * kMs, 1900 * kMs);
-    out_.bound = between(1500 * kMs, 3000 * kMs);
+    out_.bound = between(1200 * kMs, 3000 * kMs);
     out_.leaving = chance(0.7) ? between(0.0, 0.15) : 0;
     out_.rough = chance(0.7) ? between(0.0, 1.0) : 0;
     out_.hardStops = true;
@@ -154,9 +154,12 @@
     share(0.5, Shim::FileWrite, 0.1, 0.6);
     share(0.3, Shim::FileSync, 0.1, 0.6);
     share(0.3, Shim::FileRename, 0.1, 0.6);
-    constexpr std::array<Micros, 6> kSteps = {kS, 10 * kS, 3600 * kS, -kS, -10 * kS, -3600 * kS};
-    // By a life's own time: also of one that starts in the midst of troubles.
-    for (int i = 0; i < 3; ++i) {
+    constexpr std::array<Micros, 8> kSteps = {900 * kMs,  kS,  10 * kS,  3600 * kS,
+                                              -900 * kMs, -kS, -10 * kS, -3600 * kS};
+    // By a life's own time: also of one that starts in the midst of troubles, or behind a clock that is
+    // wrong.
+    if (chance(0.4)) plan.steps.push_back(ClockStep{0, oneOf(kSteps)});
+    for (int i = 0; i < 2; ++i) {
       if (chance(0.5)) plan.steps.push_back(ClockStep{between<Micros>(kS, out_.length), oneOf(kSteps)});
     }
     return plan;
