Positions are read by the members' clocks: a driver behind them serves no stale reads

Cause: src/routing/outcome.cpp, client_session.cpp and the age of bounded reads compared Unix times that members had written with the driver's own wall clock. Behind by up to 1 s at its start (more is not believed at all) it took replicas for as much younger, and cut a session's position to its own now. Change: wallclock::MemberTime turns positions into times of this process by how far the members' clocks are known to be ahead: no position is from the future of who wrote it. Until a primary has told its position that is taken to be as much as is believed. Sessions' positions are no longer cut; Bolt's bookmarks without a told position are by the members' clock.

--- a/src/logic.h
+++ b/src/logic.h
@@ -88,11 +88,12 @@
   RequestId id = 0;
   GroupId group = 0;
   std::uint32_t classIndex = 0;
-  std::uint64_t session = 0;             // 0: none
-  std::optional<Micros> sinceLastWrite;  // carried token; it binds a read of any class
-  std::optional<Micros> estimate;        // expected work
-  bool repeat = false;                   // marked by the client as its retry
-  Micros deadline = 0;                   // when the client gives up
+  std::uint64_t session = 0;  // 0: none
+  // Carried token, which binds a read of any class; below 0 where it is ahead of our clock.
+  std::optional<Micros> sinceLastWrite;
+  std::optional<Micros> estimate;  // expected work
+  bool repeat = false;             // marked by the client as its retry
+  Micros deadline = 0;             // when the client gives up
 };
 
 // Stale: an answer that only a primary may give came from one that says that it leads no more. It has run.
--- a/src/rig/site.cpp
+++ b/src/rig/site.cpp
@@ -623,6 +623,8 @@
       return later(happening.lasts, [this, count] {
         for (std::size_t i = 0; i < count; ++i) {
           drivers_[i]->child->resume();
+          // What was still on its way as it was stopped.
+          judge_.killed(drivers_[i]->name, loop_.now());
           drivers_[i]->load->leadTo({});
           drivers_[i]->serving = false;
         }
--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -288,7 +288,7 @@
   }
   if (asked.afterMs) {
     const Micros after = std::min(*asked.afterMs, kLatestMs) * kMicrosPerMilli;
-    request.sinceLastWrite = wallclock::ageOfToken(after, loop_.now());
+    request.sinceLastWrite = loop_.now() - router_.memberTime().ofClient(after, loop_.now());
   }
   return request;
 }
@@ -317,7 +317,7 @@
 
 bool ClientSession::passOn(const protocol::Answer& answer, std::string_view bytes) {
   if (!fits(answer)) return false;
-  side_->pass(answer, bytes, loop_.now() / kMicrosPerMilli, stream_.output());
+  side_->pass(answer, bytes, router_.memberTime().toMembers(loop_.now()) / kMicrosPerMilli, stream_.output());
   if (!bound_) dropInput(std::exchange(held_, 0));
   bound_ = true;
   stream_.flush();
@@ -329,7 +329,7 @@
 void ClientSession::served(const protocol::Answer& answer, std::string_view bytes) {
   // One that is whole here and can't be held has run: it has failed.
   if (!fits(answer)) return failed();
-  side_->pass(answer, bytes, loop_.now() / kMicrosPerMilli, stream_.output());
+  side_->pass(answer, bytes, router_.memberTime().toMembers(loop_.now()) / kMicrosPerMilli, stream_.output());
   side_->served(stream_.output());
   onAnswered();
 }
--- a/src/routing/outcome.cpp
+++ b/src/routing/outcome.cpp
@@ -62,19 +62,21 @@
   return Outcome::Error;
 }
 
-Report readReport(const settings::InstanceSettings& settings, std::string_view text, Micros now) {
+Report readReport(const settings::InstanceSettings& settings, std::string_view text, Micros now,
+                  wallclock::MemberTime& clocks) {
   const settings::ReportLayout& layout = settings.report;
   Report report;
-  if (const auto position = numberAt(layout, layout.position, text); position && position->micros > 0) {
-    // What tells of the future can't be read, and nothing beside it is believed.
-    if (!wallclock::believable(position->micros, now)) return {};
-    // It may have been rounded up by as much as its last digit.
-    report.position = position->micros - position->step;
-  }
   if (const auto role = numberAt(layout, layout.role, text);
       role && role->micros >= 0 && role->micros <= kOne) {
     report.role = role->micros * 2 >= kOne ? Role::Primary : Role::Replica;
   }
+  if (const auto position = numberAt(layout, layout.position, text); position && position->micros > 0) {
+    // What tells of the future can't be read, and nothing beside it is believed. It may have been rounded up
+    // by as much as its last digit.
+    const bool byPrimary = report.role == Role::Primary;
+    report.position = clocks.heard(position->micros - position->step, now, byPrimary);
+    if (!report.position) return {};
+  }
   if (const auto held = numberAt(layout, layout.held, text)) {
     report.held = static_cast<double>(held->micros) / 1e6;
   }
@@ -82,16 +84,17 @@
 }
 
 void readNews(const settings::InstanceSettings& settings, const ExchangeEnd& end, Micros now,
-              AttemptEnded& event) {
+              wallclock::MemberTime& clocks, AttemptEnded& event) {
   if (end.cause != ExchangeEnd::Cause::Answered) return;
   const protocol::Answer& answer = *end.answer;
   if (answer.primary) event.role = *answer.primary ? Role::Primary : Role::Replica;
   if (answer.positionMs && *answer.positionMs <= kLatestMs)
-    event.position = wallclock::believable(*answer.positionMs * kMicrosPerMilli, now);
-  event.report = readReport(settings, answer.report.of(end.bytes), now);
+    event.position = clocks.heard(*answer.positionMs * kMicrosPerMilli, now, event.role == Role::Primary);
+  event.report = readReport(settings, answer.report.of(end.bytes), now, clocks);
 }
 
-ProbeEnded probeEndOf(const settings::InstanceSettings& settings, const ExchangeEnd& end, Micros now) {
+ProbeEnded probeEndOf(const settings::InstanceSettings& settings, const ExchangeEnd& end, Micros now,
+                      wallclock::MemberTime& clocks) {
   ProbeEnded event;
   // It lives, and has told nothing.
   event.turnedAway =
@@ -99,7 +102,7 @@
   if (end.answer == nullptr) return event;
   if (end.answer->kind == Kind::Value) {
     event.ok = true;
-    event.report = readReport(settings, end.answer->value.of(end.bytes), now);
+    event.report = readReport(settings, end.answer->value.of(end.bytes), now, clocks);
   } else {
     event.unwilling = end.answer->kind == Kind::NotNow;
     event.turnedAway = event.unwilling || end.answer->kind == Kind::Full;
--- a/src/routing/outcome.h
+++ b/src/routing/outcome.h
@@ -7,6 +7,7 @@
 #include "routing/member_connection.h"
 #include "routing/observer.h"
 #include "settings/settings.h"
+#include "wallclock/positions.h"
 
 namespace heathflow::routing {
 
@@ -18,10 +19,12 @@
 
 // The role, position and report that came with an answer.
 void readNews(const settings::InstanceSettings& settings, const ExchangeEnd& end, Micros now,
-              AttemptEnded& event);
+              wallclock::MemberTime& clocks, AttemptEnded& event);
 // A load report as text, rounded so that it never claims too much; empty where it can't be read.
-Report readReport(const settings::InstanceSettings& settings, std::string_view text, Micros now);
+Report readReport(const settings::InstanceSettings& settings, std::string_view text, Micros now,
+                  wallclock::MemberTime& clocks);
 // A probe's answer.
-ProbeEnded probeEndOf(const settings::InstanceSettings& settings, const ExchangeEnd& end, Micros now);
+ProbeEnded probeEndOf(const settings::InstanceSettings& settings, const ExchangeEnd& end, Micros now,
+                      wallclock::MemberTime& clocks);
 
 }  // namespace heathflow::routing
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -106,7 +106,7 @@
   void onExchangeEnd(const ExchangeEnd& end) override {
     // A connection that breaks says nothing of its member: once more, on a new one.
     if (end.dropped && !std::exchange(repeated, true)) return router.startProbe(*this, true);
-    router.probeEnded(*this, probeEndOf(router.settings_, end, router.loop_.now()));
+    router.probeEnded(*this, probeEndOf(router.settings_, end, router.loop_.now(), router.memberTime_));
   }
 
   Router& router;
@@ -386,7 +386,7 @@
   RequestState& state = attempt.request;
   const RequestId id = state.id;
   AttemptEnded event;
-  if (end != nullptr) readNews(settings_, *end, loop_.now(), event);
+  if (end != nullptr) readNews(settings_, *end, loop_.now(), memberTime_, event);
   // What a client has seen a part of can't be taken back.
   const bool fell = attempt.asPrimary && event.role == Role::Replica && state.bound != &attempt;
   if (outcome == Outcome::Ok && fell) outcome = Outcome::Stale;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -16,6 +16,7 @@
 #include "routing/member_pool.h"
 #include "routing/observer.h"
 #include "settings/settings.h"
+#include "wallclock/positions.h"
 
 namespace heathflow::routing {
 
@@ -67,6 +68,8 @@
   void stopping(Micros by) { post(Stopping{by}); }
 
   const settings::InstanceSettings& settings() const { return settings_; }
+  // What members' clocks are known to be.
+  const wallclock::MemberTime& memberTime() const { return memberTime_; }
   // What checks this process against the rules.
   invariants::Guard& guard() { return guard_; }
 
@@ -117,6 +120,7 @@
   std::uint64_t ringOrder_ = 0;
   bool running_ = false;
   invariants::Guard guard_;
+  wallclock::MemberTime memberTime_;
   Logic logic_;
 };
 
--- a/tests/launch_times_test.cpp
+++ b/tests/launch_times_test.cpp
@@ -75,9 +75,60 @@
   EXPECT_EQ(times.known(), 0U);
 }
 
-TEST(Positions, OfTheFutureAreNotBelieved) {
-  EXPECT_EQ(believable(kStart + kAheadAtMost, kStart), kStart + kAheadAtMost);
-  EXPECT_EQ(believable(kStart + kAheadAtMost + 1, kStart), std::nullopt);
+TEST(MemberClocks, ThatAgreeWithOursChangeNothing) {
+  MemberTime clocks;
+  for (int i = 0; i < 100; ++i)
+    EXPECT_EQ(clocks.heard(kStart - i * 1000, kStart, i % 2 == 0), kStart - i * 1000);
+  EXPECT_EQ(clocks.ahead(), 0);
+  EXPECT_EQ(clocks.ofClient(kStart - kSecond, kStart), kStart - kSecond);
+  EXPECT_EQ(clocks.toMembers(kStart), kStart);
+}
+
+// A replica's position says little of its clock: until a primary has spoken ours may be as far behind as is
+// believed at all.
+TEST(MemberClocks, MayBeAheadUntilAPrimaryHasTold) {
+  MemberTime clocks;
+  EXPECT_EQ(clocks.heard(kStart, kStart, false), kStart - kAheadAtMost);
+  EXPECT_EQ(clocks.ahead(), kAheadAtMost);
+  EXPECT_EQ(clocks.heard(kStart, kStart, true), kStart);
+  EXPECT_EQ(clocks.ahead(), 0);
+}
+
+TEST(MemberClocks, OfTheFutureAreNotBelieved) {
+  MemberTime clocks;
+  EXPECT_EQ(clocks.heard(kStart + kAheadAtMost + 1, kStart, true), std::nullopt);
+  EXPECT_EQ(clocks.ahead(), kAheadAtMost) << "nothing has been told";
+}
+
+TEST(MemberClocks, ShowThatOursIsBehind) {
+  constexpr Micros kTold = 900'000;
+  constexpr Micros kBehind = kTold + 50'000;  // with what it was on its way for, at the most
+  MemberTime clocks;
+  EXPECT_EQ(clocks.heard(kStart + kTold, kStart, true), kStart + kTold - kBehind);
+  EXPECT_EQ(clocks.ahead(), kBehind);
+  // A replica that lags 2 s lags 2 s.
+  EXPECT_EQ(clocks.heard(kStart + kBehind - 2 * kSecond, kStart, false), kStart - 2 * kSecond);
+  EXPECT_EQ(clocks.ofClient(kStart + kBehind, kStart), kStart);
+  EXPECT_EQ(clocks.toMembers(kStart), kStart + kBehind);
+  EXPECT_EQ(clocks.heard(kStart + kAheadAtMost + 1, kStart, true), std::nullopt) << "they don't creep ahead";
+}
+
+TEST(MemberClocks, AreForgottenWhereNothingShowsThemAnyMore) {
+  MemberTime clocks;
+  (void)clocks.heard(kStart + 500'000, kStart, true);
+  Micros at = kStart;
+  for (; at < kStart + 59 * kSecond; at += kSecond) (void)clocks.heard(at, at, true);
+  EXPECT_EQ(clocks.ahead(), 550'000) << "of this while, and of the one before";
+  for (; at < kStart + 70 * kSecond; at += kSecond) (void)clocks.heard(at, at, true);
+  EXPECT_EQ(clocks.ahead(), 0);
+}
+
+// A session's word is compared with members', not with our clock, which may be behind both.
+TEST(MemberClocks, OfSessionsMayBeAheadOfOurs) {
+  MemberTime clocks;
+  (void)clocks.heard(kStart, kStart, true);
+  EXPECT_EQ(clocks.ofClient(kStart + kHour, kStart), kStart + kHour);
+  EXPECT_EQ(clocks.ofClient(std::numeric_limits<Micros>::max(), kStart), kStart + 24 * kHour);
 }
 
 }  // namespace
--- a/tests/outcome_test.cpp
+++ b/tests/outcome_test.cpp
@@ -17,6 +17,13 @@
 
 constexpr Micros kNow = 1767225601000000;
 
+// Members' clocks of which nothing is known yet.
+wallclock::MemberTime& freshClocks() {
+  static wallclock::MemberTime only;
+  only = {};
+  return only;
+}
+
 settings::InstanceSettings socketSettings() { return settings::parseSettings(test::settingsText({})); }
 
 // A member's answer to one query, as the client side read it.
@@ -59,7 +66,7 @@
     EXPECT_EQ(outcomeOf({Cause::Malformed, stage, nullptr, {}}), Outcome::ConnectFailed);
   }
   const ProbeEnded probe =
-      probeEndOf(socketSettings(), {Cause::Malformed, Stage::Answering, nullptr, {}}, kNow);
+      probeEndOf(socketSettings(), {Cause::Malformed, Stage::Answering, nullptr, {}}, kNow, freshClocks());
   EXPECT_FALSE(probe.ok);
   EXPECT_TRUE(probe.turnedAway) << "it lives";
 }
@@ -85,12 +92,12 @@
                   pg::parameter("wal_time", "1767225600123") +
                   pg::parameter("stats", "x0=1767225600.123,x1=0") + pg::ready());
   AttemptEnded event;
-  readNews(settings, read.end(), kNow, event);
+  readNews(settings, read.end(), kNow, freshClocks(), event);
   EXPECT_EQ(event.role, Role::Primary);
   EXPECT_EQ(event.position, 1767225600123000);
   EXPECT_EQ(event.report.role, Role::Replica);
   AttemptEnded silent;
-  readNews(settings, Read(pg::row("v") + pg::ready()).end(), kNow, silent);
+  readNews(settings, Read(pg::row("v") + pg::ready()).end(), kNow, freshClocks(), silent);
   EXPECT_FALSE(silent.role);
   EXPECT_FALSE(silent.position);
   EXPECT_FALSE(silent.report.position);
@@ -99,13 +106,13 @@
 // Guards the rule on stale reads: a position is never taken for newer than it may be.
 TEST(LoadReportValues, AreRoundedSoThatTheyNeverClaimTooMuch) {
   const settings::InstanceSettings settings = socketSettings();
-  EXPECT_EQ(readReport(settings, "x0=1767225600.123,x1=1", kNow).position, 1767225600122000);
-  EXPECT_EQ(readReport(settings, "x0=1767225600,x1=1", kNow).position, 1767225599000000);
-  EXPECT_EQ(readReport(settings, "x0=1767225600.123456", kNow).position, 1767225600123455);
-  EXPECT_EQ(readReport(settings, "x1=1", kNow).role, Role::Primary);
-  EXPECT_EQ(readReport(settings, "x1=0", kNow).role, Role::Replica);
+  EXPECT_EQ(readReport(settings, "x0=1767225600.123,x1=1", kNow, freshClocks()).position, 1767225600122000);
+  EXPECT_EQ(readReport(settings, "x0=1767225600,x1=1", kNow, freshClocks()).position, 1767225599000000);
+  EXPECT_EQ(readReport(settings, "x0=1767225600.123456", kNow, freshClocks()).position, 1767225600123455);
+  EXPECT_EQ(readReport(settings, "x1=1", kNow, freshClocks()).role, Role::Primary);
+  EXPECT_EQ(readReport(settings, "x1=0", kNow, freshClocks()).role, Role::Replica);
   for (const char* text : {"", "x0=,x1=", "x0=soon,x1=yes", "y0=1,y1=1", "x0=-5"}) {
-    const Report report = readReport(settings, text, kNow);
+    const Report report = readReport(settings, text, kNow, freshClocks());
     EXPECT_FALSE(report.position) << text;
     EXPECT_FALSE(report.role) << text;
   }
@@ -117,7 +124,7 @@
   const settings::InstanceSettings settings = socketSettings();
   for (const char* text :
        {"x0=1767225603.000,x1=1", "x0=999999999999,x1=1", "x0=soon,x1=7", "x1=-1", "x0=1e9"}) {
-    const Report report = readReport(settings, text, kNow);
+    const Report report = readReport(settings, text, kNow, freshClocks());
     EXPECT_FALSE(report.position) << text;
     EXPECT_FALSE(report.role) << text;
   }
@@ -127,7 +134,7 @@
                   pg::ready());
   EXPECT_EQ(outcomeOf(read.end()), Outcome::Ok);
   AttemptEnded event;
-  readNews(settings, read.end(), kNow, event);
+  readNews(settings, read.end(), kNow, freshClocks(), event);
   EXPECT_EQ(event.role, Role::Primary);
   EXPECT_FALSE(event.position);
   EXPECT_FALSE(event.report.position);
@@ -143,17 +150,20 @@
 TEST(ProbeAnswers, TellAliveTurnedAwayAndDeadApart) {
   const settings::InstanceSettings settings = socketSettings();
   const ProbeEnded alive =
-      probeEndOf(settings, Read(pg::row("x0=1767225600.5,x1=1") + pg::ready()).end(), kNow);
+      probeEndOf(settings, Read(pg::row("x0=1767225600.5,x1=1") + pg::ready()).end(), kNow, freshClocks());
   EXPECT_TRUE(alive.ok);
   EXPECT_EQ(alive.report.role, Role::Primary);
   for (const char* code : {"53300", "57P03"}) {
-    const ProbeEnded away = probeEndOf(settings, Read(pg::error(code) + pg::ready()).end(), kNow);
+    const ProbeEnded away =
+        probeEndOf(settings, Read(pg::error(code) + pg::ready()).end(), kNow, freshClocks());
     EXPECT_FALSE(away.ok);
     EXPECT_TRUE(away.turnedAway) << code;
   }
-  const ProbeEnded refused = probeEndOf(settings, Read(pg::error("42501") + pg::ready()).end(), kNow);
+  const ProbeEnded refused =
+      probeEndOf(settings, Read(pg::error("42501") + pg::ready()).end(), kNow, freshClocks());
   EXPECT_FALSE(refused.ok || refused.turnedAway);
-  const ProbeEnded dead = probeEndOf(settings, {Cause::Broken, Stage::Connecting, nullptr, {}}, kNow);
+  const ProbeEnded dead =
+      probeEndOf(settings, {Cause::Broken, Stage::Connecting, nullptr, {}}, kNow, freshClocks());
   EXPECT_FALSE(dead.ok || dead.turnedAway);
 }
 
