Failing test for a log that nobody reads

Need: whoever reads the driver's standard error may stop. Read in the code while looking for calls that block: spdlog's sink writes to a pipe that may be full.

--- /dev/null
+++ b/tests/unread_log_test.cpp
@@ -0,0 +1,46 @@
+// A log that nobody reads: the driver goes on, and says later how much was lost.
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <fstream>
+
+#include "program_process.h"
+#include "standins/gateway_rig.h"
+#include "standins/temporary_file.h"
+
+namespace heathflow::test {
+namespace {
+
+// More lines than a pipe holds (64 KiB): some three of each request at this level.
+constexpr int kRequests = 1200;
+
+TEST(UnreadLog, HoldsUpNoRequest) {
+  transport::EventLoop loop;
+  DiscoveryStandIn discovery(loop);
+  MemberStandIn member(loop);
+  member.primary = true;
+  discovery.members = "[" + entry("m0", member.address(), true) + "]";
+  TemporaryFolder folder;
+  const std::string settings = folder.path() + "/heathflow.xml";
+  std::ofstream(settings)
+      << "<heathflow xmlns=\"urn:heathflow:settings:1\" version=\"1\"><log level=\"trace\"/></heathflow>\n";
+  Process process(configText({}, discovery.address(), discovery.members), {"serve", "--config", settings});
+  ASSERT_TRUE(until(loop, [&] { return process.says("serves at"); }));
+  ClientStandIn client(loop, process.endpoint());
+  for (int i = 0; i < kRequests; ++i) {
+    client.ask(request("any", "id" + std::to_string(i)));
+    ASSERT_TRUE(client.answered()) << "request " << i;
+    client.forget();
+  }
+  // Once it is read again it tells what is missing.
+  EXPECT_TRUE(process.says("id0"));
+  client.ask(request("any", "last"));
+  ASSERT_TRUE(client.answered());
+  EXPECT_TRUE(until(loop, [&] { return process.says("lines were lost"); }));
+  process.signal(SIGTERM);
+  ASSERT_TRUE(until(loop, [&] { return process.over(); }));
+  EXPECT_EQ(process.status(), 0);
+}
+
+}  // namespace
+}  // namespace heathflow::test
