A log that nobody reads loses lines and holds up no request; the soak leaves logs unread

Cause: spdlog's sink wrote to standard error, a pipe that may be full, and the one thread stood in that call (src/program/log.cpp, write). Change: a line is written only where the pipe takes it at once, and is no longer than a pipe takes whole; what is lost is counted and told with the next line. The rig may leave drivers' logs unread.

--- a/src/program/log.cpp
+++ b/src/program/log.cpp
@@ -1,11 +1,16 @@
 #include "program/log.h"
 
+#include <limits.h>
+#include <poll.h>
 #include <spdlog/logger.h>
 #include <spdlog/sinks/stdout_sinks.h>
+#include <unistd.h>
 
+#include <cerrno>
 #include <chrono>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace heathflow::program {
 namespace {
@@ -41,6 +46,7 @@
 struct Writer {
   LogForm form = LogForm::Text;
   std::unique_ptr<spdlog::logger> logger = makeLogger(LogForm::Text);
+  std::uint64_t lost = 0;  // lines, since the last one that was written
 };
 
 Writer& writer() {
@@ -75,25 +81,59 @@
   out += value;
 }
 
+// Whether a line can be written without waiting for whoever reads the log. A pipe that can take something
+// takes a piece of this size whole (POSIX, PIPE_BUF).
+constexpr std::size_t kLineMost = PIPE_BUF - 128;
+
+bool readerKeepsUp() {
+  pollfd standardError{STDERR_FILENO, POLLOUT, 0};
+  int ready = 0;
+  do {
+    ready = ::poll(&standardError, 1, 0);
+  } while (ready < 0 && errno == EINTR);
+  return ready < 0 || (standardError.revents & POLLOUT) != 0;
+}
+
+// Guards the one thread: a log that nobody reads loses lines, and no request waits for it.
+void writeLine(Writer& to, Level level, std::string line) {
+  if (!readerKeepsUp()) {
+    ++to.lost;
+    return;
+  }
+  if (line.size() > kLineMost) line.resize(kLineMost);
+  to.logger->log(level, spdlog::string_view_t(line.data(), line.size()));
+}
+
+std::string lineOf(LogForm form, const char* topic, const std::string& text, const routing::About& about);
+
 void write(Level level, const char* topic, const std::string& text, const routing::About& about) {
   Writer& to = writer();
   if (!to.logger->should_log(level)) return;
+  if (to.lost > 0 && readerKeepsUp()) {
+    const std::string missing =
+        std::to_string(std::exchange(to.lost, 0)) + " lines were lost: nobody read the log";
+    writeLine(to, Level::warn, lineOf(to.form, kOwnTopic, missing, {}));
+  }
+  writeLine(to, level, lineOf(to.form, topic, text, about));
+}
+
+std::string lineOf(LogForm form, const char* topic, const std::string& text, const routing::About& about) {
   std::string line;
-  if (to.form == LogForm::Text) {
+  if (form == LogForm::Text) {
     if (topic != kOwnTopic) line = std::string(topic) + ": ";
     line += oneLine(text);
   } else {
-    const bool json = to.form == LogForm::Json;
-    addField(line, to.form, "topic", json ? jsonText(topic) : topic);
-    if (about.connection != 0) addField(line, to.form, "connection", std::to_string(about.connection));
+    const bool json = form == LogForm::Json;
+    addField(line, form, "topic", json ? jsonText(topic) : topic);
+    if (about.connection != 0) addField(line, form, "connection", std::to_string(about.connection));
     if (!about.protocol.empty()) {
-      addField(line, to.form, "protocol", json ? jsonText(about.protocol) : std::string(about.protocol));
+      addField(line, form, "protocol", json ? jsonText(about.protocol) : std::string(about.protocol));
     }
-    if (!about.request.empty()) addField(line, to.form, "request", jsonText(about.request));
-    if (about.family) addField(line, to.form, "family", std::to_string(*about.family));
-    addField(line, to.form, "text", jsonText(text));
+    if (!about.request.empty()) addField(line, form, "request", jsonText(about.request));
+    if (about.family) addField(line, form, "family", std::to_string(*about.family));
+    addField(line, form, "text", jsonText(text));
   }
-  to.logger->log(level, spdlog::string_view_t(line.data(), line.size()));
+  return line;
 }
 
 }  // namespace
--- a/src/rig/child.cpp
+++ b/src/rig/child.cpp
@@ -62,7 +62,7 @@
   ::close(pipe[1]);
   output_ = transport::UniqueFd(pipe[0]);
   ::fcntl(output_.get(), F_SETFL, O_NONBLOCK);
-  over_ = false;
+  over_ = deaf_ = false;
   ++lives_;
   lifeFrom_ = events_.size();
 }
@@ -90,7 +90,13 @@
   start();
 }
 
+void Child::setDeaf(bool deaf) {
+  deaf_ = deaf;
+  if (deaf) ::fcntl(output_.get(), F_SETPIPE_SZ, 4096);
+}
+
 void Child::readLog() {
+  if (deaf_) return;
   char bytes[4096];
   for (;;) {
     const ssize_t got = ::read(output_.get(), bytes, sizeof bytes);
--- a/src/rig/child.h
+++ b/src/rig/child.h
@@ -58,6 +58,8 @@
   // Everything that it has logged so far, of all its lives. Bounded: of a longer log the newest part.
   const std::string& log();
   bool says(const std::string& what) { return log().find(what) != std::string::npos; }
+  // For as long as it is deaf nothing of the log is read, and the pipe holds as little as the system allows.
+  void setDeaf(bool deaf);
   // Its lines, each with the time at which it was read here.
   const std::vector<LogEvent>& events();
   // The newest life's lines and those before it that hold this text.
@@ -90,6 +92,7 @@
   std::size_t lifeFrom_ = 0;  // the first event of the newest life
   unsigned lives_ = 0;
   bool over_ = false;
+  bool deaf_ = false;
   int status_ = 0;
   transport::Clock clock_;
 };
--- a/src/rig/site.cpp
+++ b/src/rig/site.cpp
@@ -650,6 +650,12 @@
         service_.comeUp();
         note("the list service is back with an older state");
       });
+    case Is::LogsUnread:
+      for (std::size_t i = 0; i < count; ++i) drivers_[i]->child->setDeaf(true);
+      return later(happening.lasts, [this, count] {
+        for (std::size_t i = 0; i < count; ++i) drivers_[i]->child->setDeaf(false);
+        note("logs are read again");
+      });
     case Is::ReloadDrivers:
       for (std::size_t i = 0; i < count; ++i) drivers_[i]->child->signal(SIGHUP);
       return;
--- a/src/rig/soak.cpp
+++ b/src/rig/soak.cpp
@@ -103,6 +103,7 @@
       add(chance(0.5) ? Is::KillDrivers : Is::PauseDrivers, when(), between(0.1, 0.6),
           between(300 * kMs, 2 * kS));
     }
+    if (chance(0.2)) add(Is::LogsUnread, when(), between(0.2, 1.0), between(kS, 4 * kS));
     for (int i = 0; i < 3; ++i) {
       if (chance(0.4)) add(Is::ReloadDrivers, when(), between(0.1, 1.0), 0);
     }
