--- a/tests/rig_test.cpp
+++ b/tests/rig_test.cpp
@@ -197,6 +197,43 @@
   EXPECT_EQ(judge.count(Rule::NoSecondEffect), 2U);
 }
 
+// A refusal promises that there will be no effect either.
+TEST(Judged, WhatReachesAMemberAfterItsRefusal) {
+  Judge judge;
+  Judge::Asked write = read("w");
+  write.bound.reset();
+  write.repeatable = write.refusable = false;
+  judge.asked(write);
+  judge.answered("w", kMs, Answered::Refused);
+  EXPECT_EQ(judge.count(Rule::NoSecondEffect), 0U);
+  judge.reached("w", "m0", 2 * kMs, 0);
+  EXPECT_EQ(judge.count(Rule::NoSecondEffect), 1U);
+}
+
+TEST(Judged, AttemptsForTheDepartedAndTimesThatClientsDoNotHave) {
+  Judge judge;
+  judge.asked(read("a"));
+  judge.left("a", 10 * kMs);
+  judge.reached("a", "m0", 100 * kMs, 100 * kMs);
+  EXPECT_EQ(judge.count(Rule::NothingForDeparted), 0U);
+  judge.sent("a", "m1", 161 * kMs);
+  judge.reached("a", "m1", 900 * kMs, 900 * kMs);
+  EXPECT_EQ(judge.count(Rule::NothingForDeparted), 1U);
+  judge.asked(read("b"));
+  const Micros patience = read("b").patience;
+  judge.reached("b", "m0", kMs, kMs, patience);
+  EXPECT_EQ(judge.count(Rule::TimeTold), 0U);
+  judge.reached("b", "m0", kMs, kMs, patience + 250 * kMs);
+  EXPECT_EQ(judge.count(Rule::TimeTold), 1U);
+}
+
+TEST(Judged, WhatADriverOwesAtItsEndIsItsFault) {
+  Judge judge;
+  judge.asked(read("a"));
+  judge.endedOwing(read("a").driver, kMs);
+  EXPECT_EQ(judge.count(Rule::OneAnswer), 1U);
+}
+
 TEST(Judged, SendsToDrainingMembersStaleReadsAndColdMembersPushedOver) {
   Judge judge;
   judge.toldDraining("n0", "m1", kS);
--- /dev/null
+++ b/tests/soak_test.cpp
@@ -0,0 +1,102 @@
+// The fault soak: its scenarios are good and repeatable, what breaks on purpose is seen, and a short play of
+// each kind of trouble keeps all rules.
+#include "rig/soak.h"
+
+#include <gtest/gtest.h>
+
+#include "rig/site.h"
+#include "transport/event_loop.h"
+
+namespace heathflow::rig {
+namespace {
+
+constexpr Micros kMs = 1000;
+constexpr Micros kS = 1000 * kMs;
+
+Outcomes played(const Scenario& scenario) {
+  transport::EventLoop loop;
+  return Site(loop, scenario, Programs{HEATHFLOW_PROGRAM, HEATHFLOW_FAULT_LIBRARY, ""}).play();
+}
+
+void expectKept(const Outcomes& outcomes) {
+  for (const Breach& breach : outcomes.breaches)
+    ADD_FAILURE() << nameOf(breach.rule) << " " << breach.who << " " << breach.what;
+  for (const std::string& crash : outcomes.crashes) ADD_FAILURE() << crash;
+  EXPECT_GT(outcomes.served, 0U);
+}
+
+Scenario quiet() {
+  Scenario out;
+  out.name = "quiet";
+  out.length = 5 * kS;
+  out.drivers = 4;
+  out.groups = 2;
+  out.perDriver = 20;
+  out.patience = 2 * kS;
+  out.member.warmUp = 2 * kS;
+  out.hardStops = true;
+  return out;
+}
+
+TEST(SoakScenarios, AreTheSameFromTheSameSeedAndCanBePlayedAgain) {
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    const Scenario scenario = soakScenario(seed, {});
+    const std::string text = textOf(scenario);
+    EXPECT_EQ(text, textOf(soakScenario(seed, {})));
+    std::vector<xml::Problem> problems;
+    const auto again = parseScenario("soak.xml", text, problems);
+    ASSERT_TRUE(again) << text << (problems.empty() ? "" : toText(problems.front()));
+    EXPECT_EQ(textOf(*again), text);
+    EXPECT_GE(scenario.happenings.size(), 2U);
+  }
+}
+
+// Everything that fails, at once, in every driver.
+TEST(SoakPlays, KeepAllRulesUnderFailingCallsAndASteppedClock) {
+  Scenario scenario = quiet();
+  scenario.faults =
+      "short-read=0.05;short-write=0.05;interrupt=0.1;interrupt-io=0.1;socket=0.1;accept=0.1;connect=0.1;"
+      "watch=0.05;create=0.2;listen=0.2;file-open=0.2;file-read=0.2;file-write=0.3;file-sync=0.3;"
+      "file-rename=0.3;step=-900@0;step=+3600000@1000;step=-10000@2000";
+  scenario.snapshot = true;
+  scenario.leaving = 0.1;
+  scenario.rough = 2;
+  scenario.happenings = {{Happening::Kind::ReloadDrivers, kS, 1, 0}};
+  expectKept(played(scenario));
+}
+
+TEST(SoakPlays, KeepAllRulesWherePathsAndProcessesFailTogether) {
+  Scenario scenario = quiet();
+  scenario.length = 8 * kS;
+  scenario.leaving = 0.1;
+  scenario.happenings = {{Happening::Kind::CutMembers, kS, 0.3, kS},
+                         {Happening::Kind::RollDrivers, kS, 0.5, kS},
+                         {Happening::Kind::CutList, 1200 * kMs, 0.5, kS},
+                         {Happening::Kind::ReloadDrivers, 1300 * kMs, 1, 0},
+                         {Happening::Kind::ResetMembers, 1500 * kMs, 0.5, kS},
+                         {Happening::Kind::LogsUnread, 1500 * kMs, 0.5, kS},
+                         {Happening::Kind::HangMembers, 3 * kS, 0.3, kS},
+                         {Happening::Kind::SlowMembers, 3 * kS, 0.5, kS}};
+  expectKept(played(scenario));
+}
+
+TEST(SoakOracle, SeesAProgramThatDoesNotStart) {
+  Scenario scenario = quiet();
+  scenario.length = kS;
+  scenario.drivers = 1;
+  transport::EventLoop loop;
+  const Outcomes outcomes = Site(loop, scenario, Programs{"/bin/false", "", ""}).play();
+  EXPECT_FALSE(outcomes.rulesKept());
+  EXPECT_FALSE(outcomes.crashes.empty());
+}
+
+// Without the library that fails calls nothing is played, rather than something else.
+TEST(SoakOracle, PlaysNoFailingCallsWithoutTheirLibrary) {
+  Scenario scenario = quiet();
+  scenario.faults = "short-read=0.1";
+  transport::EventLoop loop;
+  EXPECT_THROW(Site(loop, scenario, HEATHFLOW_PROGRAM), std::runtime_error);
+}
+
+}  // namespace
+}  // namespace heathflow::rig
