--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -770,10 +770,8 @@
     });
     if (open && request.session != 0) job.consistency = Consistency::Fresh;
   }
-  if (request.sinceLastWrite)
-    job.token = std::max(
-        job.token,
-        now_ - std::min(*request.sinceLastWrite, std::max<Micros>(0, *request.sinceLastWrite - kTokenSlack)));
+  if (const auto since = request.sinceLastWrite)
+    job.token = std::max(job.token, now_ - std::min(*since, std::max<Micros>(0, *since - kTokenSlack)));
   if (job.consistency == Consistency::Session && job.token == kNever) job.consistency = Consistency::Any;
   if (job.consistency == Consistency::Any && job.token != kNever) job.consistency = Consistency::Session;
   for (double& count : arrivals_) count *= kMixKept;
--- a/src/rig/list_model.cpp
+++ b/src/rig/list_model.cpp
@@ -66,8 +66,8 @@
       if (change.first > since) add(change.second);
     }
   }
-  answer.body = "{\"revision\":" + std::to_string(revision_) +
-                ",\"complete\":" + (whole ? "true" : "false") + ",\"members\":[" + members + "]}";
+  answer.body = "{\"revision\":" + std::to_string(revision_) + ",\"complete\":" + (whole ? "true" : "false") +
+                ",\"members\":[" + members + "]}";
   return lines;
 }
 
