--- a/src/snapshot/snapshot.h
+++ b/src/snapshot/snapshot.h
@@ -19,6 +19,7 @@
   std::string name;             // of the driver
   std::int64_t writtenAt = 0;   // Unix microseconds
   std::int64_t listTrueAt = 0;  // the newest time at which the list was known to hold; 0: there is none
+  std::string source;           // of the list: where its service was; empty: not known
   protocol::MemberList list;
   std::optional<Micros> callCost;  // of the list service
   Micros usual = 0;                // what a request took the members; 0: not known
--- /dev/null
+++ b/tests/snapshot_source_test.cpp
@@ -0,0 +1,67 @@
+// A snapshot of a list that another list service gave: revisions of two services say nothing of each other.
+#include <gtest/gtest.h>
+
+#include "crossing.h"
+#include "standins/gateway_rig.h"
+#include "standins/temporary_file.h"
+
+namespace heathflow::test {
+namespace {
+
+constexpr std::int64_t kKeptRevision = 41;
+
+// A driver whose earlier life had its list from that place.
+class Restarted {
+ public:
+  explicit Restarted(const std::string& source)
+      : loop(transport::Clock::byHand(transport::Clock().now())), discovery(loop), member(loop) {
+    member.primary = true;
+    discovery.members = "[" + entry("m0", member.address(), true) + "]";
+    discovery.revision = 2 * kKeptRevision;
+    GatewayOptions options;
+    options.knownRevision = 1;
+    std::string problem;
+    if (!program::parseConfig(configText(options, discovery.address(), discovery.members), config, problem))
+      throw std::runtime_error(problem);
+    installation.snapshot.file = folder.path() + "/n0.snapshot";
+    snapshot::Snapshot earlier;
+    earlier.name = "n0";
+    earlier.listTrueAt = loop.now();
+    earlier.source = source.empty() ? discovery.address() : source;
+    protocol::MemberList list = config.known;
+    list.revision = kKeptRevision;
+    list.members.push_back(list.members.front());
+    list.members.back().id = "gone-before-the-move";
+    earlier.list = list;
+    gateway = std::make_unique<program::Gateway>(loop, config, notes, installation, earlier);
+    if (gateway->listen(problem) != 0) throw std::runtime_error(problem);
+    gateway->start();
+  }
+  std::string firstCall() {
+    until(loop, [this] { return !discovery.calls.empty(); });
+    return discovery.calls.empty() ? "" : discovery.calls.front();
+  }
+
+  transport::EventLoop loop;
+  DiscoveryStandIn discovery;
+  MemberStandIn member;
+  TemporaryFolder folder;
+  Notes notes;
+  program::Config config;
+  installation::Installation installation;
+  std::unique_ptr<program::Gateway> gateway;
+};
+
+TEST(SnapshotSource, OfTheSamePlaceGoesOnFromItsRevision) {
+  Restarted restarted("");
+  EXPECT_NE(restarted.firstCall().find("since=" + std::to_string(kKeptRevision)), std::string::npos);
+}
+
+// Else one that went before the move would stay in the list for good.
+TEST(SnapshotSource, OfAnotherPlaceIsNoRevisionOfThisOne) {
+  Restarted restarted("127.0.0.9:8500");
+  EXPECT_EQ(restarted.firstCall().find("since=" + std::to_string(kKeptRevision)), std::string::npos);
+}
+
+}  // namespace
+}  // namespace heathflow::test
