--- a/src/files/files.cpp
+++ b/src/files/files.cpp
@@ -108,7 +108,10 @@
 void removeLeftovers(const std::string& path) {
   const std::string start = std::filesystem::path(path).filename().string() + std::string(kMark);
   std::error_code error;
-  for (const auto& entry : std::filesystem::directory_iterator(folderOf(path), error)) {
+  // By hand: stepping on by '++' would throw where the folder can't be read on.
+  std::filesystem::directory_iterator at(folderOf(path), error);
+  for (; !error && at != std::filesystem::directory_iterator(); at.increment(error)) {
+    const std::filesystem::directory_entry& entry = *at;
     const std::string name = entry.path().filename().string();
     if (!name.starts_with(start)) continue;
     pid_t writer = 0;
--- a/src/program/gateway.cpp
+++ b/src/program/gateway.cpp
@@ -235,9 +235,12 @@
   settings.askWithin = config_.settings.logic.askWithin;
   settings.listFor = installation_.snapshot.listFor * kMicrosPerSecond;
   settings.mayProbe = config_.settings.logic.mayProbe;
-  // Of two old lists the one of the higher revision.
+  // Of two old lists the one of the higher revision. Another service's revisions say nothing of this one's: a
+  // list that it gave is not gone on from.
   const auto kept = snapshot::believed(memory_, loop_.now(), settings);
-  if (kept && kept->revision > known.revision) known = *kept;
+  const bool samePlace = memory_.source == toText(config_.discovery);
+  if (kept && samePlace && kept->revision > known.revision) known = *kept;
+  memory_.source = toText(config_.discovery);
   if (!installation_.snapshot.file.empty()) memory_.list = known;
   watch_.startFrom(known.revision);
   router_.membersChanged(directory_.take(known, loop_.now(), false));
@@ -247,10 +250,17 @@
   if (!config_.settings.logic.mustAsk) watch_.subscribe();
 }
 
+void Gateway::reload(const Config& fresh) {
+  watch_.moveTo(fresh.discovery);
+  // A list of the old place stays with it, until the new one has given its own.
+  movedTo_ = toText(fresh.discovery);
+}
+
 // The list as a whole is kept, for changes alone would be of no use to the next life.
 void Gateway::take(const protocol::MemberList& list) {
   if (!installation_.snapshot.file.empty()) {
     memory_.listTrueAt = loop_.now();
+    if (!movedTo_.empty()) memory_.source = std::exchange(movedTo_, {});
     protocol::apply(list, memory_.list);
   }
   router_.membersChanged(directory_.take(list, loop_.now(), true));
--- a/src/program/gateway.h
+++ b/src/program/gateway.h
@@ -34,7 +34,7 @@
     return entrances_[listener].listener->boundTo();
   }
   // Takes over what may change while it runs: where discovery is. The rest holds from the next start on.
-  void reload(const Config& fresh) { watch_.moveTo(fresh.discovery); }
+  void reload(const Config& fresh);
   // What the next life should know.
   snapshot::Snapshot remember() const;
   // Grows with each list that was taken in, so that a new one is seen to be worth keeping.
@@ -56,6 +56,7 @@
   startup::Caller caller_;
   routing::DiscoveryWatch watch_;
   snapshot::Snapshot memory_;  // of the list as it is, and of earlier lives
+  std::string movedTo_;        // the list service's new place, while the list is still of the old one
   routing::ClientSession::Shared shared_;
   struct Entrance {
     transport::Endpoint address;
--- a/src/snapshot/snapshot.cpp
+++ b/src/snapshot/snapshot.cpp
@@ -14,7 +14,9 @@
 namespace {
 
 constexpr std::string_view kMark = "heathflow-snapshot\n";
-constexpr std::uint32_t kVersion = 1;
+// Version 1 had no source.
+constexpr std::uint32_t kVersion = 2;
+constexpr std::uint32_t kVersionLeast = 1;
 // Guards memory against a file that can't be meant.
 constexpr std::size_t kFileLimit = 16 << 20;
 constexpr std::size_t kMembersMost = 100'000;
@@ -23,8 +25,10 @@
 using Port = std::tuple<std::string, std::uint16_t>;
 using Entry = std::tuple<std::string, std::string, std::string, std::uint32_t, std::uint8_t, double,
                          std::int64_t, bool, std::vector<Port>>;
-using Content = std::tuple<std::string, std::int64_t, std::int64_t, std::int64_t, std::vector<Entry>,
-                           std::int64_t, std::uint32_t, std::int64_t>;
+using ContentWithoutSource = std::tuple<std::string, std::int64_t, std::int64_t, std::int64_t,
+                                        std::vector<Entry>, std::int64_t, std::uint32_t, std::int64_t>;
+
+using Content = std::tuple<ContentWithoutSource, std::string>;
 
 std::string number(std::uint64_t value, std::size_t bytes) {
   std::string out;
@@ -63,8 +67,10 @@
   for (const protocol::ListedMember& member : snapshot.list.members) entries.push_back(entryOf(member));
   msgpack::sbuffer content;
   msgpack::pack(content,
-                Content{snapshot.name, snapshot.writtenAt, snapshot.listTrueAt, snapshot.list.revision,
-                        entries, snapshot.callCost.value_or(-1), snapshot.youngDeaths, snapshot.usual});
+                Content{ContentWithoutSource{snapshot.name, snapshot.writtenAt, snapshot.listTrueAt,
+                                             snapshot.list.revision, entries, snapshot.callCost.value_or(-1),
+                                             snapshot.youngDeaths, snapshot.usual},
+                        snapshot.source});
   std::string out(kMark);
   out += number(kVersion, 4) + number(XXH3_64bits(content.data(), content.size()), 8);
   return out.append(content.data(), content.size());
@@ -81,9 +87,9 @@
     return {};
   }
   const std::uint64_t version = numberAt(bytes.substr(kMark.size(), 4));
-  if (version != kVersion) {
-    problem = "it has version " + std::to_string(version) + ", and only " + std::to_string(kVersion) +
-              " is known here";
+  if (version < kVersionLeast || version > kVersion) {
+    problem = "it has version " + std::to_string(version) + ", and only those up to " +
+              std::to_string(kVersion) + " are known here";
     return {};
   }
   const std::string_view content = bytes.substr(kHead);
@@ -96,8 +102,13 @@
     const msgpack::unpack_limit limits(kMembersMost, 64, kFileLimit, kFileLimit, 0, 16);
     const msgpack::object_handle handle =
         msgpack::unpack(content.data(), content.size(), nullptr, nullptr, limits);
-    const auto read = handle.get().as<Content>();
     Snapshot out;
+    ContentWithoutSource read;
+    if (version == kVersion) {
+      std::tie(read, out.source) = handle.get().as<Content>();
+    } else {
+      read = handle.get().as<ContentWithoutSource>();
+    }
     std::vector<Entry> entries;
     std::int64_t cost = -1;
     std::uint32_t young = 0;
