--- a/tests/bolt_gateway_test.cpp
+++ b/tests/bolt_gateway_test.cpp
@@ -766,6 +766,28 @@
   EXPECT_GT(rig.graph[1]->statements.size(), 0U);
 }
 
+// Guards sessions that go on elsewhere: a commit by a clock that is ahead of ours is told as its member told
+// it.
+TEST_F(BothProtocols, ABookmarkTellsACommitThatIsAheadOfOurClock) {
+  const auto ahead = std::chrono::duration_cast<std::chrono::milliseconds>(
+                         std::chrono::system_clock::now().time_since_epoch())
+                         .count() +
+                     3'600'000;
+  rig.graph[0]->answer = [&](Line& line, const std::string&) {
+    line.say(rig.graph[0]->value("written", ahead));
+  };
+  ClientStandIn client(rig.loop, rig.graphEndpoint);
+  client.ask(request("save", "w"));
+  ASSERT_TRUE(client.answered());
+  const std::string mark = "hf1:0:" + std::to_string(ahead) + ":own";
+  EXPECT_EQ(client.bookmark(), mark);
+  // And it is not cut on its way through a read either.
+  rig.graph[0]->answer = [&](Line& line, const std::string&) { line.say(rig.graph[0]->value("read")); };
+  client.ask(request("view", "r", ",bookmark=" + mark));
+  ASSERT_TRUE(client.answered(2));
+  EXPECT_EQ(client.bookmark(), mark);
+}
+
 // Guards the rule on stale reads across protocols: what is written over Bolt binds a reader over PostgreSQL
 // that carries its position, and the other way round.
 TEST_F(BothProtocols, ABookmarkBindsReadersOfEitherProtocol) {
