Bolt: a bookmark tells its commit as its member told it, however wrong our clock is

Cause: BoltServer::writeFinal cut a told position to the driver's now and 1 s, and a carried one to its now (src/protocol/bolt_server.cpp). Behind by an hour it gave out bookmarks an hour older than their commits, which bind no reader elsewhere.

--- a/src/protocol/bolt_server.cpp
+++ b/src/protocol/bolt_server.cpp
@@ -14,8 +14,10 @@
 
 // A routing table holds as long as that, seconds: it always names this driver, and so hardly changes.
 constexpr std::int64_t kRouteSeconds = 300;
-// A position further ahead of the clock than this can't be meant (PROTOCOL: all machines read one clock).
-constexpr std::int64_t kAheadAtMostMs = 1000;
+// A position further ahead of the clock than a day is none. Nearer ones are told on as they are: our clock
+// may be behind, and a bookmark that is older than its commit would let another instance serve a read without
+// it.
+constexpr std::int64_t kAheadAtMostMs = 86'400'000;
 // Later than any clock, Unix milliseconds.
 constexpr std::int64_t kNewest = 9'000'000'000'000;
 
@@ -392,7 +394,8 @@
   // had, and covers what it was bound to.
   std::int64_t position =
       std::min(answer.positionMs.value_or(writes_ ? nowMs + 1 : 0), nowMs + kAheadAtMostMs);
-  position = std::max(position, std::min(afterMs_, nowMs));
+  // A bookmark that is not ours stands for what may have been written by now.
+  position = std::max(position, afterMs_ == kNewest ? nowMs : std::min(afterMs_, nowMs + kAheadAtMostMs));
   const bool gave = summary && summary->bookmarkEntry.size != 0;
   if (!summary || !success || !committing_ || (position == 0 && !gave)) {
     out.append(message);
