--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -6,6 +6,7 @@
 #include <exception>
 #include <memory>
 #include <sstream>
+#include <string_view>
 
 #include "files/files.h"
 #include "installation/installation.h"
@@ -27,6 +28,8 @@
 // How the program ends; README.md lists them.
 enum ExitCode { kGood = 0, kFailed = 1, kUnusable = 2, kUsage = 64 };
 
+constexpr std::string_view kServe = "serve";
+
 void logCounters(const routing::Observer& observer) {
   std::istringstream lines(program::describe(observer.counters) + sparing::describe(observer.ledger));
   for (std::string line; std::getline(lines, line);) program::logLine(line);
@@ -110,9 +113,7 @@
   return kGood;
 }
 
-// Signals are held first of all: whoever starts a driver may send it one at any time.
 int serveWith(const std::string& settingsFile) {
-  program::holdSignals();
   installation::Installation installation;
   if (!settingsFile.empty()) {
     std::vector<installation::Problem> problems;
@@ -169,7 +170,7 @@
       "Exit codes: 0 good, 1 failed, 2 unusable input, 64 wrong usage.");
   std::string settingsFile;
   CLI::App* serveCommand =
-      app.add_subcommand("serve", "Serve as NODE_CONFIG and, if given, the settings say");
+      app.add_subcommand(std::string(kServe), "Serve as NODE_CONFIG and, if given, the settings say");
   serveCommand->add_option("--config", settingsFile, "The installation's settings (XML)");
   std::string checkedFile;
   std::string nodeFile;
@@ -187,6 +188,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  // Signals are held first of all: whoever starts a driver may send it one at any time.
+  if (argc == 1 || argv[1] == kServe) program::holdSignals();
   try {
     return argc == 1 ? serveWith({}) : commandLine(argc, argv);
   } catch (const std::exception& error) {
--- a/src/rig/site.h
+++ b/src/rig/site.h
@@ -120,6 +120,7 @@
   void changePaths(std::vector<std::unique_ptr<StreamLink>>& links, double share, Micros lasts,
                    const Fault& fault);
   void noteSending(std::size_t member, std::string_view bytes);
+  void reloadDriver(Driver& driver);
   void endDriver(Driver& driver);
   void startAgain(Driver& driver);
   void checkStart(Driver& driver);
