One piece where logic stood twice: bound sockets, files of the rig, tests' sites and plans

Change: transport::bindTo under listenOn and the stand-ins' reserve(); one reader of files for scenarios and scale plans; tests/faults.h and tests/process_site.h in place of copies; the rig's path faults in one function.

--- /dev/null
+++ b/src/rig/file_text.h
@@ -0,0 +1,22 @@
+// The text of a file that a person wrote, for the rig's own readers.
+#pragma once
+
+#include <cstring>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "files/files.h"
+#include "xml/document.h"
+
+namespace heathflow::rig {
+
+// Nothing where it can't be read; then the last of the problems says why.
+inline std::optional<std::string> textOfFile(const std::string& path, std::vector<xml::Problem>& problems) {
+  files::Content file = files::read(path);
+  if (!file.bytes)
+    problems.push_back({path, 0, "", std::string("the file can't be opened: ") + std::strerror(file.error)});
+  return std::move(file.bytes);
+}
+
+}  // namespace heathflow::rig
--- a/src/rig/scale_plan.cpp
+++ b/src/rig/scale_plan.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <sstream>
 
-#include "files/files.h"
+#include "rig/file_text.h"
 namespace heathflow::rig {
 namespace {
 
@@ -184,11 +184,8 @@
 }
 
 std::optional<ScalePlan> loadScalePlan(const std::string& path, std::vector<xml::Problem>& problems) {
-  const auto text = files::read(path).bytes;
-  if (!text) {
-    problems.push_back({path, 0, "", "the file can't be opened"});
-    return std::nullopt;
-  }
+  const auto text = textOfFile(path, problems);
+  if (!text) return std::nullopt;
   return parseScalePlan(path, *text, problems);
 }
 
--- a/src/rig/scenario.cpp
+++ b/src/rig/scenario.cpp
@@ -5,7 +5,7 @@
 #include <sstream>
 
 #include "faultshim/fault_plan.h"
-#include "files/files.h"
+#include "rig/file_text.h"
 namespace heathflow::rig {
 namespace {
 
@@ -182,11 +182,8 @@
 }
 
 std::optional<Scenario> loadScenario(const std::string& path, std::vector<xml::Problem>& problems) {
-  const auto text = files::read(path).bytes;
-  if (!text) {
-    problems.push_back({path, 0, "", "the file can't be opened"});
-    return std::nullopt;
-  }
+  const auto text = textOfFile(path, problems);
+  if (!text) return std::nullopt;
   return parseScenario(path, *text, problems);
 }
 
--- a/src/rig/site.cpp
+++ b/src/rig/site.cpp
@@ -62,6 +62,17 @@
   return out;
 }
 
+// What a path does while that holds.
+Fault pathFaultOf(Happening::Kind kind) {
+  using Is = Happening::Kind;
+  Fault out;
+  out.cutForth = kind == Is::CutMembers || kind == Is::CutList;
+  out.cutBack = out.cutForth || kind == Is::HangMembers;
+  out.resets = kind == Is::ResetMembers;
+  if (kind == Is::SlowMembers) out.delay = out.jitter = kSlowPath;
+  return out;
+}
+
 std::size_t partOf(double share, std::size_t of) {
   return std::min(of, static_cast<std::size_t>(std::ceil(share * static_cast<double>(of))));
 }
@@ -670,36 +681,17 @@
     case Is::ReloadDrivers:
       for (std::size_t i = 0; i < count; ++i) reloadDriver(*drivers_[i]);
       return;
-    case Is::CutMembers: {
-      Fault fault;
-      fault.cutForth = fault.cutBack = true;
-      return changePaths(memberPaths_, happening.share, happening.lasts, fault);
-    }
-    case Is::HangMembers: {
-      Fault fault;
-      fault.cutBack = true;
-      return changePaths(memberPaths_, happening.share, happening.lasts, fault);
-    }
-    case Is::SlowMembers: {
-      Fault fault;
-      fault.delay = kSlowPath;
-      fault.jitter = kSlowPath;
-      return changePaths(memberPaths_, happening.share, happening.lasts, fault);
-    }
-    case Is::ResetMembers: {
-      Fault fault;
-      fault.resets = true;
-      return changePaths(memberPaths_, happening.share, happening.lasts, fault);
-    }
-    case Is::CutList: {
-      Fault fault;
-      fault.cutForth = fault.cutBack = true;
+    case Is::CutMembers:
+    case Is::HangMembers:
+    case Is::SlowMembers:
+    case Is::ResetMembers:
+      return changePaths(memberPaths_, happening.share, happening.lasts, pathFaultOf(happening.kind));
+    case Is::CutList:
       listCuts_.resize(listPaths_.size());
       for (std::size_t i = listPaths_.size() - partOf(happening.share, listPaths_.size());
            i < listPaths_.size(); ++i)
         listCuts_[i] = {loop_.now(), loop_.now() + happening.lasts};
-      return changePaths(listPaths_, happening.share, happening.lasts, fault);
-    }
+      return changePaths(listPaths_, happening.share, happening.lasts, pathFaultOf(happening.kind));
     case Is::ListMoves:
       elsewhere_ = std::make_unique<ListService>(loop_, scenario_.list);
       elsewhere_->onAnswer = [this](std::size_t door, const ListModel::Answer& answer) {
--- a/src/standins/standins.cpp
+++ b/src/standins/standins.cpp
@@ -352,17 +352,7 @@
   return std::move(opened.fd);
 }
 
-transport::UniqueFd reserve(const transport::Endpoint& place) {
-  transport::UniqueFd out(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-  const int on = 1;
-  ::setsockopt(out.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(place.address);
-  address.sin_port = htons(place.port);
-  if (::bind(out.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) out.reset();
-  return out;
-}
+transport::UniqueFd reserve(const transport::Endpoint& place) { return transport::bindTo(place).fd; }
 
 void resetAtClose(int fd) {
   const linger hard{1, 0};
--- a/src/transport/socket.cpp
+++ b/src/transport/socket.cpp
@@ -54,18 +54,22 @@
   return std::find(kLacks.begin(), kLacks.end(), error) != kLacks.end();
 }
 
-Opened listenOn(const Endpoint& endpoint, int backlog) {
+Opened bindTo(const Endpoint& endpoint) {
   UniqueFd fd = openSocket();
   if (!fd) return {UniqueFd(), errno};
-  setFlag(fd.get(), SOL_SOCKET, SO_REUSEADDR);  // a restart binds at once
+  setFlag(fd.get(), SOL_SOCKET, SO_REUSEADDR);
   const sockaddr_in address = addressOf(endpoint);
-  if (::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
-      ::listen(fd.get(), backlog) != 0) {
+  if (::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
     return {UniqueFd(), errno};
-  }
   return {std::move(fd), 0};
 }
 
+Opened listenOn(const Endpoint& endpoint, int backlog) {
+  Opened out = bindTo(endpoint);
+  if (out.fd && ::listen(out.fd.get(), backlog) != 0) return {UniqueFd(), errno};
+  return out;
+}
+
 Opened acceptFrom(int listener) {
   for (;;) {
     UniqueFd fd(::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
--- a/src/transport/socket.h
+++ b/src/transport/socket.h
@@ -29,6 +29,8 @@
 // Whether an error speaks of what this process or machine lacks, descriptors, memory or ports, and not of the
 // other end.
 bool ownLack(int error);
+// Bound and not listening: connections are refused. A restart may bind again at once.
+Opened bindTo(const Endpoint& endpoint);
 Opened listenOn(const Endpoint& endpoint, int backlog);
 // One that went away while it was in the queue comes as ECONNABORTED or EPROTO, and says nothing of those
 // behind it.
--- a/tests/fault_plan_test.cpp
+++ b/tests/fault_plan_test.cpp
@@ -6,17 +6,12 @@
 #include <cerrno>
 #include <ctime>
 
-#include "faultshim/shim.h"
+#include "faults.h"
 
 namespace heathflow::faultshim {
 namespace {
 
-FaultPlan planOf(const std::string& text) {
-  std::string problem;
-  const auto plan = parsePlan(text, problem);
-  EXPECT_TRUE(plan) << problem;
-  return plan.value_or(FaultPlan{});
-}
+using test::planOf;
 
 TEST(FaultPlans, AreReadFromTheirTextAndWrittenBack) {
   const FaultPlan plan = planOf("seed=7;short-read=0.05;socket=1@100-2000#3;step=-3600000@5000;step=+1000");
--- a/tests/momentary_lack_test.cpp
+++ b/tests/momentary_lack_test.cpp
@@ -3,7 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "crossing.h"
-#include "faultshim/shim.h"
+#include "faults.h"
 #include "snapshot/snapshot.h"
 #include "standins/gateway_rig.h"
 #include "standins/temporary_file.h"
@@ -11,15 +11,6 @@
 namespace heathflow::test {
 namespace {
 
-using faultshim::Fault;
-using faultshim::FaultPlan;
-using faultshim::InForce;
-
-FaultPlan planOf(const std::string& text) {
-  std::string problem;
-  return faultshim::parsePlan(text, problem).value_or(FaultPlan{});
-}
-
 // One whose roles are known and whose connections are gone: the next request needs a new one.
 class Serving {
  public:
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -6,33 +6,18 @@
 #include <filesystem>
 #include <fstream>
 
-#include "program_process.h"
+#include "process_site.h"
 #include "standins/gateway_rig.h"
 
 namespace heathflow::test {
 namespace {
 
-struct Site {
-  Site() : discovery(loop), member(loop) {
-    member.primary = true;
-    discovery.members = "[" + entry("m0", member.address(), true) + "]";
-  }
-  std::string config() const { return configText({}, discovery.address(), discovery.members); }
-  template <typename Condition>
-  bool until(Condition&& condition) {
-    return test::until(loop, std::forward<Condition>(condition));
-  }
-  transport::EventLoop loop;
-  DiscoveryStandIn discovery;
-  MemberStandIn member;
-};
-
 std::size_t linesOf(const std::string& text) {
   return static_cast<std::size_t>(std::count(text.begin(), text.end(), '\n'));
 }
 
 TEST(ProgramStart, EndsOnABadConfigurationWithOnePlainLine) {
-  Site site;
+  ProcessSite site;
   const std::string good = site.config();
   const auto without = [&](const std::string& piece, const std::string& instead) {
     std::string text = good;
@@ -61,7 +46,7 @@
 }
 
 TEST(ProgramStart, SaysThatItsAddressIsTaken) {
-  Site site;
+  ProcessSite site;
   std::string config = site.config();
   const std::string listen = "127.0.0.1:0";
   config.replace(config.find(listen), listen.size(), site.member.address());
@@ -72,7 +57,7 @@
 }
 
 TEST(ProgramSignals, TermServesWhatIsOutAndEndsWell) {
-  Site site;
+  ProcessSite site;
   Line* held = nullptr;
   site.member.answer = [&](Line& line, const std::string&) { held = &line; };
   Process process(site.config());
@@ -93,7 +78,7 @@
 
 // Guards what is out when the kill comes: it gets its answer before, and the process ends by itself.
 TEST(ProgramSignals, TermAnswersWhatNoMemberAnswersInTime) {
-  Site site;
+  ProcessSite site;
   bool asked = false;
   site.member.answer = [&](Line&, const std::string&) { asked = true; };
   Process process(site.config());
@@ -110,7 +95,7 @@
 }
 
 TEST(ProgramSignals, Usr1PrintsTheCountersAndPipeIsNothing) {
-  Site site;
+  ProcessSite site;
   Process process(site.config());
   ASSERT_TRUE(site.until([&] { return process.says("serves at"); }));
   process.signal(SIGPIPE);
@@ -127,7 +112,7 @@
 // Guards drivers whose discovery moves: the call that is out ends, the whole list comes from the new place,
 // and what was asked meanwhile is served.
 TEST(ProgramSignals, HupMovesDiscoveryAndCostsNoRequest) {
-  Site site;
+  ProcessSite site;
   Line* held = nullptr;
   site.member.answer = [&](Line& line, const std::string&) { held = &line; };
   Process process(site.config());
@@ -162,7 +147,7 @@
 }
 
 TEST(ProgramSignals, HupWithAFileThatCanNotBeUsedChangesNothing) {
-  Site site;
+  ProcessSite site;
   Process process(site.config());
   ASSERT_TRUE(site.until([&] { return process.says("serves at") && site.discovery.waiting != nullptr; }));
   const std::size_t calls = site.discovery.calls.size();
@@ -194,7 +179,7 @@
 }
 
 TEST(ProgramSignals, ARestartBindsTheSameAddressAtOnce) {
-  Site site;
+  ProcessSite site;
   auto first = std::make_unique<Process>(site.config());
   ASSERT_TRUE(site.until([&] { return first->says("serves at"); }));
   const transport::Endpoint endpoint = first->endpoint();
--- a/tests/short_transfer_test.cpp
+++ b/tests/short_transfer_test.cpp
@@ -3,7 +3,7 @@
 #include <signal.h>
 
 #include "crossing.h"
-#include "faultshim/shim.h"
+#include "faults.h"
 #include "program/signals.h"
 #include "program_process.h"
 #include "standins/gateway_rig.h"
@@ -11,15 +11,6 @@
 namespace heathflow::test {
 namespace {
 
-using faultshim::Fault;
-using faultshim::FaultPlan;
-using faultshim::InForce;
-
-FaultPlan planOf(const std::string& text) {
-  std::string problem;
-  return faultshim::parsePlan(text, problem).value_or(FaultPlan{});
-}
-
 class ShortTransfer : public ClosingRule {};
 INSTANTIATE_TEST_SUITE_P(Protocols, ShortTransfer, kBoth, nameOf);
 
--- a/tests/start_retry_test.cpp
+++ b/tests/start_retry_test.cpp
@@ -5,28 +5,13 @@
 #include <array>
 #include <fstream>
 
-#include "program_process.h"
+#include "process_site.h"
 #include "standins/gateway_rig.h"
 #include "standins/temporary_file.h"
 
 namespace heathflow::test {
 namespace {
 
-struct StartingSite {
-  StartingSite() : discovery(loop), member(loop) {
-    member.primary = true;
-    discovery.members = "[" + entry("m0", member.address(), true) + "]";
-  }
-  std::string config() const { return configText({}, discovery.address(), discovery.members); }
-  template <typename Condition>
-  bool until(Condition&& condition) {
-    return test::until(loop, std::forward<Condition>(condition));
-  }
-  transport::EventLoop loop;
-  DiscoveryStandIn discovery;
-  MemberStandIn member;
-};
-
 rig::Environment failing(const std::string& plan) { return rig::withFaults(HEATHFLOW_FAULT_LIBRARY, plan); }
 
 // Of each kind of call that a start makes.
@@ -40,7 +25,7 @@
 
 TEST(MomentaryLack, EndsNoStart) {
   for (const char* plan : kMomentary) {
-    StartingSite site;
+    ProcessSite site;
     Process process(site.config(), {}, failing(plan));
     ASSERT_TRUE(site.until([&] { return process.says("serves at") || process.over(); })) << plan;
     ASSERT_FALSE(process.over()) << plan << ": " << process.log();
@@ -55,7 +40,7 @@
 
 // A signal that comes while the start still waits for something is no end of the process.
 TEST(EarlySignal, WaitsUntilItCanBeTaken) {
-  StartingSite site;
+  ProcessSite site;
   Process process(site.config(), {}, failing("file-open=1#6"));
   ASSERT_TRUE(site.until([&] { return process.says("is tried again") || process.over(); }));
   process.signal(SIGHUP);
@@ -70,7 +55,7 @@
 
 // The same while the settings of the installation are read, which comes first.
 TEST(EarlySignal, WaitsWhileTheSettingsAreRead) {
-  StartingSite site;
+  ProcessSite site;
   TemporaryFolder folder;
   const std::string settings = folder.path() + "/heathflow.xml";
   std::ofstream(settings) << "<heathflow xmlns=\"urn:heathflow:settings:1\" version=\"1\"/>\n";
@@ -83,7 +68,7 @@
 
 // What the reading of a new configuration fails for at present is tried again too.
 TEST(Reload, IsTriedAgainWhereTheFileCantBeReadForAMoment) {
-  StartingSite site;
+  ProcessSite site;
   DiscoveryStandIn elsewhere(site.loop);
   elsewhere.members = site.discovery.members;
   // The start itself opens the file once.
@@ -98,7 +83,7 @@
 
 // What can't pass is not waited for, and is called by its own name.
 TEST(WrongStart, EndsAtOnceWithItsTrueName) {
-  StartingSite site;
+  ProcessSite site;
   std::string config = site.config();
   const std::string listen = "127.0.0.1:0";
   config.replace(config.find(listen), listen.size(), "192.0.2.1:5432");
@@ -112,7 +97,7 @@
 
 // A lack that does not pass ends the start in time, and its name is no word on the address.
 TEST(LastingLack, EndsTheStartWithItsTrueName) {
-  StartingSite site;
+  ProcessSite site;
   Process process(site.config(), {}, failing("socket=1"));
   ASSERT_TRUE(site.until([&] { return process.over(); }));
   EXPECT_EQ(process.status(), 1);
--- a/tests/wall_clock_test.cpp
+++ b/tests/wall_clock_test.cpp
@@ -2,15 +2,13 @@
 #include <gtest/gtest.h>
 
 #include "crossing.h"
-#include "faultshim/shim.h"
+#include "faults.h"
 #include "standins/gateway_rig.h"
 
 namespace heathflow::test {
 namespace {
 
 using faultshim::ClockStep;
-using faultshim::FaultPlan;
-using faultshim::InForce;
 
 constexpr transport::Micros kHour = 3600 * kSecond;
 
