Lint: nothing but the one clock's first reading looks at the wall clock

Need: a stepped wall clock can move no span as long as none is counted by it; that is held for all code to come. Change: scripts/lint.sh refuses system_clock, CLOCK_REALTIME, gettimeofday and time() in the program's packages outside transport/clock.h. Result: lint passes; with a line that reads the system clock in src/routing it fails (seen).

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -55,6 +55,11 @@
   fail "protocol handling reaches for a socket or a clock"
 fi
 if grep -niE 'postgres|bolt|sqlstate|http|discovery|member' -r src/transport; then fail "transport speaks a protocol"; fi
+# Spans are of real time: nothing but the one clock's first reading looks at the wall clock.
+if grep -rnE 'system_clock|CLOCK_REALTIME|gettimeofday|[^a-z_]time\((NULL|nullptr|0)?\)' src --include='*.h' --include='*.cpp' |
+  grep -vE '^src/(transport/clock\.h|rig/|tools/|standins/|faultshim/|fleet/)'; then
+  fail "the wall clock is read elsewhere than in transport/clock.h"
+fi
 # Routing knows no protocol either.
 if grep -niE 'postgres|bolt|sqlstate|pg_' -r src/routing src/logic.cpp; then fail "routing speaks a protocol"; fi
 
