Rig: only the close of a driver that ends may cross a request; read once more

Cause: Load took any orderly close within 50 ms of a request for a crossing one, so that the rig's older tests had become laxer with the soak; RoughClients did the same, and excused closes before the welcome. Found by reading the change once more. Beside it: members that nothing read, a constant that stood twice (the fall window, the shim's variable), and log.cpp's functions in the order of their use.

--- a/src/program/log.cpp
+++ b/src/program/log.cpp
@@ -104,19 +104,6 @@
   to.logger->log(level, spdlog::string_view_t(line.data(), line.size()));
 }
 
-std::string lineOf(LogForm form, const char* topic, const std::string& text, const routing::About& about);
-
-void write(Level level, const char* topic, const std::string& text, const routing::About& about) {
-  Writer& to = writer();
-  if (!to.logger->should_log(level)) return;
-  if (to.lost > 0 && readerKeepsUp()) {
-    const std::string missing =
-        std::to_string(std::exchange(to.lost, 0)) + " lines were lost: nobody read the log";
-    writeLine(to, Level::warn, lineOf(to.form, kOwnTopic, missing, {}));
-  }
-  writeLine(to, level, lineOf(to.form, topic, text, about));
-}
-
 std::string lineOf(LogForm form, const char* topic, const std::string& text, const routing::About& about) {
   std::string line;
   if (form == LogForm::Text) {
@@ -136,6 +123,17 @@
   return line;
 }
 
+void write(Level level, const char* topic, const std::string& text, const routing::About& about) {
+  Writer& to = writer();
+  if (!to.logger->should_log(level)) return;
+  if (to.lost > 0 && readerKeepsUp()) {
+    const std::string missing =
+        std::to_string(std::exchange(to.lost, 0)) + " lines were lost: nobody read the log";
+    writeLine(to, Level::warn, lineOf(to.form, kOwnTopic, missing, {}));
+  }
+  writeLine(to, level, lineOf(to.form, topic, text, about));
+}
+
 }  // namespace
 
 Log::Log()
--- a/src/rig/child.cpp
+++ b/src/rig/child.cpp
@@ -13,6 +13,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "faultshim/shim.h"
+
 namespace heathflow::rig {
 namespace {
 
@@ -23,7 +25,8 @@
 
 Environment withFaults(const std::string& library, const std::string& plan) {
   // The address sanitizer wants to come first in the list of libraries, and works behind the shim as well.
-  return {{"LD_PRELOAD", library}, {"HEATHFLOW_FAULTS", plan}, {"ASAN_OPTIONS", "verify_asan_link_order=0"}};
+  return {
+      {"LD_PRELOAD", library}, {faultshim::kVariable, plan}, {"ASAN_OPTIONS", "verify_asan_link_order=0"}};
 }
 
 Child::Child(std::string program, const std::string& config, std::vector<std::string> arguments,
--- a/src/rig/load.cpp
+++ b/src/rig/load.cpp
@@ -15,7 +15,8 @@
 constexpr Micros kMicrosPerMilli = 1000;
 // A client looks so long beyond its time before it closes the connection.
 constexpr Micros kBeyondPatience = 600 * kMicrosPerMilli;
-// A driver's close may cross a request that it has not read; the client then asks once more elsewhere.
+// The close of a driver that ends may cross a request that it has not read; its client asks once more
+// elsewhere.
 constexpr Micros kCrossing = 50 * kMicrosPerMilli;
 // Within which a client that leaves does so.
 constexpr std::uint64_t kLeavesWithin = 400 * kMicrosPerMilli;
@@ -108,7 +109,8 @@
 
   void onEnd(transport::StreamEnd how) override {
     if (busy && answered) finish();
-    const bool crossed = how == transport::StreamEnd::Closed && load.loop_.now() - askedAt < kCrossing;
+    const bool crossed =
+        load.mayCross_ && how == transport::StreamEnd::Closed && load.loop_.now() - askedAt < kCrossing;
     if (busy && told && crossed) {
       load.judge_.left(id, load.loop_.now());
     } else if (busy && told) {
@@ -156,7 +158,7 @@
 void Load::leadTo(std::optional<transport::Endpoint> endpoint) {
   if (endpoint == endpoint_) return;
   endpoint_ = endpoint;
-  resting_ = keeping_ = false;
+  resting_ = keeping_ = mayCross_ = false;
   while (!connections_.empty()) remove(*connections_.front());
 }
 
--- a/src/rig/load.h
+++ b/src/rig/load.h
@@ -38,7 +38,9 @@
   void leadTo(std::optional<transport::Endpoint> endpoint);
   // Nothing new is sent there; what is out waits for its answer.
   void rest() { resting_ = true; }
-  // The driver ends: the connections that stand are used on, and no new ones are opened.
+  // The driver was told to end: its close may cross a request that it has not read.
+  void mayCross() { mayCross_ = true; }
+  // From then on the connections that stand are used on, and no new ones are opened.
   void keepOnly() { keeping_ = true; }
   // No further request.
   void stop();
@@ -68,6 +70,7 @@
   std::uint64_t sequence_ = 0;
   bool stopped_ = false;
   bool resting_ = false;
+  bool mayCross_ = false;
   bool keeping_ = false;
   double leaving_;
   std::mt19937_64 random_;
--- a/src/rig/rough_clients.cpp
+++ b/src/rig/rough_clients.cpp
@@ -1,7 +1,5 @@
 #include "rig/rough_clients.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -50,7 +48,6 @@
   }
   void heard() {
     for (const test::pg::Message& message : test::pg::cut(line.got)) {
-      if (message.type == 'Z') welcomed = true;
       if (message.type != 'D' && message.type != 'E') continue;
       const std::string code = message.type == 'E' ? test::pg::field(message.body, 'C') : "";
       const Answered how = message.type == 'D'                  ? Answered::Served
@@ -66,17 +63,7 @@
     if (awaitsAnswers && askedSome && open.empty()) all.remove(*this);
   }
   void gone() {
-    owedNothing = true;
-    // A close that crosses what was sent in the same moment is no loss; the ones that are owed are judged.
-    for (const std::string& id : open) {
-      const bool crossed = all.loop_.now() - lastWrite < kCrossing;
-      if (crossed || !welcomed) {
-        all.judge_.left(id, all.loop_.now());
-      } else {
-        all.judge_.answered(id, all.loop_.now(), Answered::Broken);
-      }
-    }
-    open.clear();
+    for (const std::string& id : open) all.judge_.answered(id, all.loop_.now(), Answered::Broken);
     all.remove(*this);
   }
   void overdue() {
@@ -100,13 +87,11 @@
     const std::size_t size = std::min(rest.size(), std::max<std::size_t>(1, whole / kPieces));
     line.say(rest.substr(0, size));
     rest.erase(0, size);
-    lastWrite = all.loop_.now();
     if (!rest.empty()) return step.arm(all.loop_.now() + kBetweenPieces);
     ask(slowId, all.patience_);
     due.arm(all.loop_.now() + all.patience_ + kBeyond);
   }
 
-  static constexpr Micros kCrossing = 50'000;
   RoughClients& all;
   Kind kind;
   test::Line line;
@@ -116,10 +101,8 @@
   std::string rest;
   std::string slowId;
   std::size_t whole = 0;
-  Micros lastWrite = 0;
   bool awaitsAnswers = false;
   bool owedNothing = false;
-  bool welcomed = false;
   bool removed = false;
   bool askedSome = false;
 };
@@ -177,8 +160,6 @@
   Client& client = *clients_.back();
   int error = 0;
   if (!client.line.stream.connect(*endpoint_, error)) return remove(client);
-  ++begun_;
-  client.lastWrite = loop_.now();
   client.due.arm(loop_.now() + kOwedWithin);
   const std::string opening = test::pg::startup();
   const std::string id = nextId();
@@ -208,8 +189,6 @@
       client.rest = opening + asking;
       client.whole = client.rest.size();
       client.slowId = id;
-      // Asked once it is written; until then there is something to wait for.
-      client.open.clear();
       return client.step.arm(loop_.now() + kBetweenPieces);
     case Kind::Burst: {
       client.awaitsAnswers = true;
--- a/src/rig/rough_clients.h
+++ b/src/rig/rough_clients.h
@@ -26,7 +26,6 @@
   void leadTo(std::optional<transport::Endpoint> endpoint);
   // No further ones, and nothing more is checked of those that are there.
   void stop();
-  std::uint64_t begun() const { return begun_; }
 
  private:
   enum class Kind { Silent, HalfStartup, HalfRequest, Garbage, HitAndRun, HalfClose, SlowWriter, Burst };
@@ -49,7 +48,6 @@
   std::optional<transport::Endpoint> endpoint_;
   std::list<std::unique_ptr<Client>> clients_;
   transport::Timer next_;
-  std::uint64_t begun_ = 0;
   std::uint64_t sequence_ = 0;
 };
 
--- a/src/rig/site.cpp
+++ b/src/rig/site.cpp
@@ -38,7 +38,6 @@
 constexpr Micros kAtFirstLine = 200 * kMicrosPerMilli;
 constexpr Micros kReadyWithin = 10 * kMicrosPerSecond;
 constexpr Micros kSlowPath = 60 * kMicrosPerMilli;
-constexpr Micros kFallWindow = 2 * kMicrosPerSecond;
 constexpr transport::Endpoint kAnyPort{test::kLoopback, 0};
 // Breaches that are told one by one.
 constexpr std::size_t kBreachesTold = 20;
@@ -54,7 +53,6 @@
 // hold a process up do so for 0.15 s at the most.
 JudgeLimits limitsOf(const Scenario& scenario) {
   JudgeLimits out;
-  out.fallWindow = kFallWindow;
   if (scenario.faults.empty()) return out;
   out.slack = 500 * kMicrosPerMilli;
   out.departed += faultshim::kLongestHoldUp;
@@ -582,6 +580,7 @@
   if (!scenario_.hardStops) {
     driver.load->rest();
   } else {
+    driver.load->mayCross();
     later(kStillComing, [&driver] { driver.load->keepOnly(); });
   }
   driver.child->signal(SIGTERM);
