--- a/review/common/standins.h
+++ b/review/common/standins.h
@@ -17,6 +17,7 @@
 #include <algorithm>
 #include <atomic>
 #include <cerrno>
+#include <cmath>
 #include <condition_variable>
 #include <cstdint>
 #include <cstdio>
@@ -305,6 +306,15 @@
   // Answers a request. Called when its last byte has come.
   virtual void answer(const std::string& statement, Answers& answers) = 0;
 
+  // The load report, with what the member had applied 20 ms ago.
+  virtual std::string report() {
+    return reportOf(static_cast<double>(clockMicros(CLOCK_REALTIME) - 20'000) / 1e6);
+  }
+  std::string reportOf(double positionSeconds) const {
+    char out[64];
+    std::snprintf(out, sizeof out, "x0=%.3f,x1=%d", positionSeconds, primary_ ? 1 : 0);
+    return out;
+  }
   std::string role() const { return parameter("mode", primary_ ? "read-write" : "read-only"); }
 
  private:
@@ -320,10 +330,7 @@
       sleepMillis(random_.between(network_.lowMillis, std::max(network_.lowMillis, network_.highMillis)));
       const std::string statement = bytes.substr(0, bytes.size() - 1);
       if (statement == "SHOW stats") {
-        char report[64];
-        std::snprintf(report, sizeof report, "x0=%.3f,x1=%d",
-                      static_cast<double>(clockMicros(CLOCK_REALTIME) - 20'000) / 1e6, primary_ ? 1 : 0);
-        answers.send(rowOf(report, "SHOW") + readyForQuery());
+        answers.send(rowOf(report(), "SHOW") + readyForQuery());
       } else if (statement == "SELECT 1") {
         answers.send(rowOf("1", "SELECT 1") + readyForQuery());
       } else {
@@ -472,41 +479,90 @@
          "\"Tiers\":[\"jobdb-fleet\"],\"Weights\":\"silent\",\"WorthBy\":\"request\",\"Zones\":[\"nbo-1\"]}";
 }
 
+// The settings of the site kisumu-glossary: those of the wire page, with the words and figures of its brief
+// and site file.
+inline std::string kisumuSettings(int gateways) {
+  const auto entry = [](const std::string& name, long aimMs, long deadlineMs, const std::string& effect,
+                        const std::string& rest) {
+    return "{\"Aim\":" + std::to_string(aimMs * 1000) + ",\"Deadline\":" + std::to_string(deadlineMs * 1000) +
+           ",\"Effect\":\"" + effect + "\",\"Group\":\"all\",\"Name\":\"" + name +
+           "\",\"Streaming\":false,\"Window\":5000000," + rest + "}";
+  };
+  return "{\"Az\":0,\"Balancers\":" + std::to_string(gateways) +
+         ",\"Charges\":{\"CrossZone\":0.0},\"Classes\":[" +
+         entry("term-lookup", 300, 750, "retryable", "\"LateShare\":0.0,\"Value\":1.0") + "," +
+         entry("own-edits", 400, 1000, "retryable", "\"LateShare\":0.0,\"Value\":1.0") + "," +
+         entry("client-browse", 300, 1200, "retryable", "\"LateShare\":0.2,\"Value\":2.0") + "," +
+         entry("usage-report", 3000, 6000, "retryable", "\"LateShare\":0.0,\"Value\":6.0") + "," +
+         entry("term-save", 400, 5000, "fragile", "\"LateShare\":0.7,\"Value\":3.0") +
+         "],\"Clients\":{\"MarksRetry\":false},"
+         "\"Contract\":{\"AnswerSlack\":20000,\"ColdFrom\":0.15,\"DrainGrace\":1000000,"
+         "\"Fall\":2000000,\"FallMultiple\":4.0,\"WarmUp\":17000000},"
+         "\"Discovery\":\"push\",\"Family\":\"replicas\","
+         "\"FamilyInfo\":{\"CatchUpWait\":0,\"CommitWaits\":false,"
+         "\"Consistency\":[\"bounded\",\"session\",\"any\",\"any\",\"write\"],\"Guards\":\"silent\","
+         "\"MaxAge\":[3000000,0,0,0,0],\"Positions\":false,\"PositionZero\":0,\"ShowsRole\":\"late\","
+         "\"TokenMode\":\"carried\"},"
+         "\"Limits\":{\"Cancel\":true,\"ConnIdle\":30000000,\"ConnectTimeout\":250000,\"CpuUsPerRequest\":0."
+         "0,"
+         "\"CpuUsPerS\":50000,\"MaxAttempts\":6,\"MaxRetryAfter\":500000,\"MayTell\":false,\"OpenCap\":20000,"
+         "\"ParallelTries\":true,\"Probing\":true,\"RetryAfter\":true,\"StreamsPerConn\":1},"
+         "\"Me\":0,\"Models\":[\"std-5core\"],\"OverShareWorth\":0.1,"
+         "\"Report\":{\"Fields\":[\"x0\",\"x1\",\"busy_reqs\",\"cpu_share\"],\"How\":\"pull\"},\"Tenants\":[]"
+         ","
+         "\"Tick\":5000,\"Tier\":0,\"Tiers\":[\"glossary-db\"],\"Weights\":\"nominal\","
+         "\"WorthBy\":\"request\",\"Zones\":[\"ksm-room-a\"]}";
+}
+
 // A gateway, started with the command of the deploy file.
 class Gateway {
  public:
   // @param command  of the deploy file's key 'run'.
   // @param root     of the repository, where the command is started.
   // @param folder   for the configuration and the log.
-  Gateway(std::string command, std::string root, std::string folder)
-      : command_(std::move(command)), root_(std::move(root)), folder_(std::move(folder)) {}
+  // @param name     its name in the deployment.
+  Gateway(std::string command, std::string root, std::string folder, std::string name = "n0")
+      : command_(std::move(command)),
+        root_(std::move(root)),
+        folder_(std::move(folder)),
+        name_(std::move(name)) {}
   ~Gateway() { kill(); }
 
-  // Writes the configuration, starts the process and waits until it answers.
+  // Writes the configuration, starts the process and waits until it answers. Started again, it has the same
+  // address, a new seed and the same list. To be called by the main thread, whose end ends the process.
   bool start(const std::string& settings, const ListService& lists, int descriptors = 1024) {
-    port_ = 0;
-    ::close(listenOn(host_, port_));
-    const std::string config = folder_ + "/node.json";
-    std::ofstream(config)
-        << "{\"name\":\"n0\",\"listen\":\"" + host_ + ":" + std::to_string(port_) + "\",\"discovery\":\"" +
-               lists.address() +
-               "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,"
-               "\"sockets\":" +
-               std::to_string(descriptors) + "},\"known\":" + lists.list() + ",\"settings\":" + settings +
-               "}";
+    if (port_ == 0) ::close(listenOn(host_, port_));
+    char seed[32];
+    std::snprintf(seed, sizeof seed, "8c1f30d27a5b%04x", ++starts_);
+    const std::string config = folder_ + "/" + name_ + ".json";
+    std::ofstream(config) << "{\"name\":\"" + name_ + "\",\"listen\":\"" + host_ + ":" +
+                                 std::to_string(port_) + "\",\"discovery\":\"" + lists.address() +
+                                 "\",\"seed\":\"" + seed +
+                                 "\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" +
+                                 std::to_string(descriptors) + "},\"known\":" + lists.list() +
+                                 ",\"settings\":" + settings + "}";
+    // All that allocates is done before the fork.
+    const std::string log = folder_ + "/gateway.log";
+    const std::string variable = "NODE_CONFIG=" + config;
+    std::vector<char*> environment;
+    for (char** entry = environ; *entry != nullptr; ++entry) environment.push_back(*entry);
+    environment.push_back(const_cast<char*>(variable.c_str()));
+    environment.push_back(nullptr);
+    char shell[] = "sh";
+    char option[] = "-c";
+    char* const arguments[] = {shell, option, const_cast<char*>(command_.c_str()), nullptr};
     pid_ = ::fork();
     if (pid_ == 0) {
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-      const int log = ::open((folder_ + "/gateway.log").c_str(), O_CREAT | O_WRONLY | O_TRUNC, 0644);
-      ::dup2(log, 1);
-      ::dup2(log, 2);
-      ::setenv("NODE_CONFIG", config.c_str(), 1);
+      const int file = ::open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
+      ::dup2(file, 1);
+      ::dup2(file, 2);
       if (::chdir(root_.c_str()) != 0) ::_exit(127);
-      ::execl("/bin/sh", "sh", "-c", command_.c_str(), nullptr);
+      ::execve("/bin/sh", arguments, environment.data());
       ::_exit(127);
     }
-    for (int i = 0; i < 200; ++i) {
-      sleepMillis(50);
+    for (int i = 0; i < 2000; ++i) {
+      sleepMillis(5);
       if (Client(host_, port_).open()) return true;
     }
     return false;
@@ -528,8 +584,10 @@
   std::string command_;
   std::string root_;
   std::string folder_;
+  std::string name_;
   std::string host_ = "127.0.0.1";
   int port_ = 0;
+  unsigned starts_ = 0;
   pid_t pid_ = 0;
 };
 
