A second copy of an answer is told from the next answer by an empty query

Cause: PgClient took any complete answer behind a query for that query's; the protocol names no request in it. The copy arrives behind the next request's write, so no look at the socket before the write can see it.

Change: an answer that repeats the one before on its connection (value or error code) is verified: an empty query is written, endpoints answer in order, so either its reply comes next and the answer was the query's own, or another answer comes first and the repeated one is dropped. The connection is used again once the empty query is answered. Covers health checks, errors and the end of a copy; a connection that ends in doubt counts as may have run. New counter upstream: surplus_answers, with a log line. A connection's age now counts from its first start.

--- a/src/program/counters.cpp
+++ b/src/program/counters.cpp
@@ -77,7 +77,8 @@
             {"idle_closed", counters.idleConnectionsClosed},
             {"stale", counters.connectionsStale},
             {"evicted", counters.connectionsEvicted},
-            {"protocol_errors", counters.endpointProtocolErrors}});
+            {"protocol_errors", counters.endpointProtocolErrors},
+            {"surplus_answers", counters.endpointSurplusAnswers}});
 }
 
 void addDiscovery(std::string& out, const stats::Counters& counters) {
--- a/src/protocol/bolt_client.h
+++ b/src/protocol/bolt_client.h
@@ -41,6 +41,7 @@
   bool completeAtClose() const override { return answerComplete_; }
   bool usable() const override { return phase_ == Phase::Idle; }
   bool recover(Buffer& out) override;
+  std::size_t takeSurplusAnswers() override { return 0; }
 
   // Bytes of an answer that are held back before a part is passed on. Until then another endpoint can still
   // answer.
--- a/src/protocol/pg_client.cpp
+++ b/src/protocol/pg_client.cpp
@@ -1,7 +1,10 @@
 #include "protocol/pg_client.h"
 
+#include <xxhash.h>
+
 #include <charconv>
 #include <string>
+#include <utility>
 
 namespace heathflow::protocol {
 namespace {
@@ -52,10 +55,13 @@
 
 void PgClient::onQueryWritten() {
   phase_ = Phase::Busy;
-  answerStarted_ = outcomeKnown_ = false;
+  answerStarted_ = outcomeKnown_ = mustVerify_ = false;
+  emptyQueryWritten_ = emptyQueryReplyStarted_ = false;
   answer_ = PgAnswer{};
 }
 
+std::size_t PgClient::takeSurplusAnswers() { return std::exchange(surplusAnswers_, 0); }
+
 // Reads a row of one column; NULL is not a valid value.
 bool PgClient::readRow(const Frame& frame) {
   if (frame.body.size() < 6 || readU16(frame.body, 0) != 1) return false;
@@ -81,7 +87,7 @@
   }
 }
 
-PgClient::Event PgClient::handleMessage(const Frame& frame, std::string_view bytes) {
+PgClient::Event PgClient::handleMessage(const Frame& frame, std::string_view bytes, Buffer& out) {
   switch (frame.type) {
     case kParameterStatus:
       readParameter(frame.body, bytes);
@@ -92,8 +98,19 @@
     default:
       break;
   }
-  if (phase_ == Phase::Starting) return handleStartupMessage(frame, bytes);
-  if (phase_ == Phase::Busy) return handleQueryMessage(frame, bytes);
+  switch (phase_) {
+    case Phase::Starting:
+      return handleStartupMessage(frame, bytes);
+    case Phase::Busy:
+      return handleQueryMessage(frame, bytes, out);
+    case Phase::Verifying:
+      return handleVerificationMessage(frame, bytes, out);
+    case Phase::Synchronizing:
+      return handleSynchronizationMessage(frame);
+    case Phase::Idle:
+    case Phase::Dead:
+      break;
+  }
   return broken();
 }
 
@@ -119,7 +136,22 @@
   }
 }
 
-PgClient::Event PgClient::handleQueryMessage(const Frame& frame, std::string_view bytes) {
+// Takes a message of the reply to an empty query: EmptyQueryResponse, then ReadyForQuery. Returns false if
+// the message is none.
+bool PgClient::takeEmptyQueryReply(const Frame& frame) {
+  const bool expected = frame.type == (emptyQueryReplyStarted_ ? kReadyForQuery : kEmptyQueryResponse);
+  if (!expected) return false;
+  emptyQueryAnswered_ = emptyQueryAnswered_ || emptyQueryReplyStarted_;
+  emptyQueryReplyStarted_ = !emptyQueryReplyStarted_;
+  return true;
+}
+
+PgClient::Event PgClient::handleQueryMessage(const Frame& frame, std::string_view bytes, Buffer& out) {
+  // A query is never empty, so this is a second copy of the reply to an empty query.
+  if (!answerStarted_ && emptyQueryAnswered_ && takeEmptyQueryReply(frame)) {
+    if (frame.type == kReadyForQuery) ++surplusAnswers_;
+    return Event::NeedMore;
+  }
   answerStarted_ = true;
   const bool pending = answer_.kind == PgAnswer::Kind::None;
   switch (frame.type) {
@@ -138,16 +170,13 @@
       if (!pending) return broken();
       const bool hasRow = frame.type == kCommandComplete && answer_.dataRow.size != 0;
       answer_.commandComplete = {parsed_, frame.size};
-      answer_.kind = hasRow ? PgAnswer::Kind::Row : PgAnswer::Kind::Empty;
-      outcomeKnown_ = true;
+      setOutcome(hasRow ? PgAnswer::Kind::Row : PgAnswer::Kind::Empty, bytes);
       return Event::NeedMore;
     }
     case kErrorResponse:
       return handleQueryError(frame, bytes);
     case kReadyForQuery:
-      if (!outcomeKnown_) return broken();
-      phase_ = Phase::Idle;
-      return Event::Answered;
+      return outcomeKnown_ ? finishAnswer(out) : broken();
     default:
       return broken();
   }
@@ -158,24 +187,86 @@
   const ErrorFields fields = parseErrorFields(frame.body);
   // A row that was already complete remains the answer: the error concerns what follows it.
   if (!outcomeKnown_) {
-    answer_.kind = PgAnswer::Kind::Error;
     answer_.code = fields.code.empty() ? Slice{} : sliceOf(fields.code, bytes);
+    setOutcome(PgAnswer::Kind::Error, bytes);
   }
   answer_.fatal = fields.fatal();
-  outcomeKnown_ = true;
   if (!answer_.fatal) return Event::NeedMore;
   phase_ = Phase::Dead;
   return Event::Answered;
 }
 
-PgClient::Event PgClient::feed(std::string_view bytes) {
+void PgClient::setOutcome(PgAnswer::Kind kind, std::string_view bytes) {
+  answer_.kind = kind;
+  outcomeKnown_ = true;
+  const std::string_view content = (kind == PgAnswer::Kind::Row ? answer_.value : answer_.code).of(bytes);
+  fingerprint_ = {kind, XXH3_64bits(content.data(), content.size())};
+  const bool hasPrevious = previousFingerprint_.kind != PgAnswer::Kind::None;
+  const bool mayBeCopy = kind == PgAnswer::Kind::Empty || fingerprint_ == previousFingerprint_;
+  mustVerify_ = hasPrevious && mayBeCopy && !emptyQueryWritten_;
+}
+
+// Handles the end of a complete answer.
+PgClient::Event PgClient::finishAnswer(Buffer& out) {
+  previousFingerprint_ = fingerprint_;
+  if (mustVerify_) {
+    if (!writeQuery(out, {}, {}, {})) return broken();
+    emptyQueryWritten_ = true;
+    mustVerify_ = emptyQueryReplyStarted_ = false;
+    unverified_ = std::exchange(answer_, PgAnswer{});
+    phase_ = Phase::Verifying;
+    return Event::NeedMore;
+  }
+  phase_ = emptyQueryWritten_ ? Phase::Synchronizing : Phase::Idle;
+  return Event::Answered;
+}
+
+// Handles what follows an answer that repeats the one before.
+PgClient::Event PgClient::handleVerificationMessage(const Frame& frame, std::string_view bytes, Buffer& out) {
+  if (takeEmptyQueryReply(frame)) {
+    if (emptyQueryReplyStarted_) return Event::NeedMore;
+    answer_ = unverified_;
+    phase_ = Phase::Idle;
+    return Event::Answered;
+  }
+  if (emptyQueryReplyStarted_) return broken();
+  ++surplusAnswers_;
+  outcomeKnown_ = false;
+  phase_ = Phase::Busy;
+  return handleQueryMessage(frame, bytes, out);
+}
+
+// Handles what is received between an answer and the reply to the empty query behind it, such as a second
+// copy of the answer.
+PgClient::Event PgClient::handleSynchronizationMessage(const Frame& frame) {
+  if (takeEmptyQueryReply(frame)) {
+    if (emptyQueryReplyStarted_) return Event::NeedMore;
+    phase_ = Phase::Idle;
+    return Event::Ready;
+  }
+  if (emptyQueryReplyStarted_) return broken();
+  switch (frame.type) {
+    case kReadyForQuery:
+      ++surplusAnswers_;
+      return Event::NeedMore;
+    case kRowDescription:
+    case kDataRow:
+    case kCommandComplete:
+    case kErrorResponse:
+      return Event::NeedMore;
+    default:
+      return broken();
+  }
+}
+
+PgClient::Event PgClient::feed(std::string_view bytes, Buffer& out) {
   while (parsed_ < bytes.size()) {
     // Unsolicited bytes must never be taken for the answer to the next query.
     if (phase_ == Phase::Idle || phase_ == Phase::Dead) return broken();
     const Frame frame = readFrame(bytes.substr(parsed_), kEndpointMessageLimit);
     if (frame.kind == Frame::Kind::Malformed) return broken();
     if (frame.kind == Frame::Kind::Partial) return Event::NeedMore;
-    const Event event = handleMessage(frame, bytes);
+    const Event event = handleMessage(frame, bytes, out);
     parsed_ += frame.size;
     if (event != Event::NeedMore) return event;
   }
--- a/src/protocol/pg_protocol.cpp
+++ b/src/protocol/pg_protocol.cpp
@@ -132,8 +132,8 @@
   return true;
 }
 
-EndpointSide::Event PgEndpointSide::feed(std::string_view bytes, bool, Buffer&) {
-  const PgClient::Event event = client_.feed(bytes);
+EndpointSide::Event PgEndpointSide::feed(std::string_view bytes, bool, Buffer& out) {
+  const PgClient::Event event = client_.feed(bytes, out);
   switch (event) {
     case PgClient::Event::NeedMore:
       if (client_.completeAtClose()) translate(bytes);
--- a/src/protocol/pg_protocol.h
+++ b/src/protocol/pg_protocol.h
@@ -39,11 +39,12 @@
   const Answer& answer() const override { return answer_; }
   std::size_t mayRunAfter() const override { return queryBytes_; }
   std::size_t mayPersistAfter() const override { return queryBytes_; }
-  bool answerPending() const override { return !client_.usable(); }
+  bool answerPending() const override { return client_.answerPending(); }
   bool answerStarted() const override { return client_.answerStarted(); }
   bool completeAtClose() const override { return client_.completeAtClose(); }
   bool usable() const override { return client_.usable(); }
-  bool recover(Buffer&) override { return false; }
+  bool recover(Buffer&) override { return client_.awaitsEmptyQueryReply(); }
+  std::size_t takeSurplusAnswers() override { return client_.takeSurplusAnswers(); }
 
  private:
   void translate(std::string_view bytes);
--- a/src/protocol/wire.h
+++ b/src/protocol/wire.h
@@ -153,9 +153,11 @@
   // After the connection has ended: returns whether the answer was complete by then.
   virtual bool completeAtClose() const = 0;
   virtual bool usable() const = 0;
-  // Starts to make the connection usable again after its request has failed; Ready is reported once it is
+  // Starts to make the connection usable again after an answer, if it is not; Ready is reported once it is
   // usable. Returns false if it can't be made usable.
   virtual bool recover(Buffer& out) = 0;
+  // Returns how many answers that belong to no request have been received since the last call.
+  virtual std::size_t takeSurplusAnswers() = 0;
 };
 
 // A protocol, registered by name.
--- a/src/standins/pg_bytes.h
+++ b/src/standins/pg_bytes.h
@@ -33,6 +33,7 @@
   return message('S', text(name) + text(value));
 }
 inline std::string ready() { return message('Z', "I"); }
+inline std::string emptyQueryReply() { return message('I', "") + ready(); }
 inline std::string welcome() { return message('R', u32(0)) + parameter("server_version", "15.0") + ready(); }
 inline std::string rowDescription() {
   return message('T',
--- a/src/standins/standins.cpp
+++ b/src/standins/standins.cpp
@@ -121,6 +121,7 @@
 }
 
 void EndpointStandIn::onStatement(Line& line, const std::string& statement) {
+  if (speaks == Speaks::Postgres && statement.empty()) return line.say(pg::emptyQueryReply());
   ++line.queries;
   if (statement == "SHOW stats" || statement == kHealthCheck) {
     ++healthChecks;
--- a/src/standins/standins.h
+++ b/src/standins/standins.h
@@ -163,7 +163,7 @@
 };
 
 // An endpoint. By default it accepts each login at once, answers health checks, and answers each statement
-// with one value.
+// with one value. It always answers an empty query at once, and does not count it.
 class EndpointStandIn final : public Listening {
  public:
   using Listening::Listening;
--- a/src/stats/counters.h
+++ b/src/stats/counters.h
@@ -63,6 +63,7 @@
   std::uint64_t connectionsStale = 0;
   std::uint64_t connectionsEvicted = 0;  // idle ones closed to free a descriptor
   std::uint64_t endpointProtocolErrors = 0;
+  std::uint64_t endpointSurplusAnswers = 0;  // belonged to no request, and were discarded
   // Discovery.
   std::uint64_t discoveryCalls = 0;
   std::uint64_t listsExpired = 0;     // not confirmed in time
--- a/src/tools/wire_bench.cpp
+++ b/src/tools/wire_bench.cpp
@@ -54,11 +54,13 @@
 // not the bottleneck.
 class PreparedEndpoint final : public Listening {
  public:
-  PreparedEndpoint(transport::EventLoop& loop, std::uint32_t address, Speaks how)
-      : Listening(loop, address), speaks_(how) {
+  // @param distinctValues  over PostgreSQL each value quotes the id of its request; otherwise all are equal.
+  PreparedEndpoint(transport::EventLoop& loop, std::uint32_t address, Speaks how, bool distinctValues)
+      : Listening(loop, address), speaks_(how), distinctValues_(distinctValues) {
     EndpointStandIn standIn(loop, address, how);
     standIn.primary = true;
-    answer_ = standIn.value("a value of some forty bytes, as terms are");
+    answer_ = standIn.value("a value of forty bytes " + std::string(kIdPlaceholder) + " s");
+    idAt_ = answer_.find(kIdPlaceholder);
     report_ = how == Speaks::Bolt ? standIn.half("x0=1,x1=1") + bolt::success()
                                   : pg::row("x0=1,x1=1") + pg::ready();
   }
@@ -89,14 +91,23 @@
     line.got.erase(0, line.got.size() - bytes.size());
     if (!out.empty()) line.say(out);
   }
-  const std::string& replyTo(std::string_view message) const {
+  const std::string& replyTo(std::string_view message) {
+    if (message == emptyQuery_) return emptyQueryReply_;
     if (message.find("stats") != std::string_view::npos) return report_;
-    return message.substr(0, 64).find(kUnansweredHandle) != std::string_view::npos ? noReply_ : answer_;
+    if (message.substr(0, 64).find(kUnansweredHandle) != std::string_view::npos) return noReply_;
+    const std::size_t id = distinctValues_ ? message.find("id=") : std::string_view::npos;
+    if (id != std::string_view::npos)
+      answer_.replace(idAt_, kIdPlaceholder.size(), message.substr(id + 3, kIdPlaceholder.size()));
+    return answer_;
   }
   Speaks speaks_;
+  bool distinctValues_;
+  std::size_t idAt_ = 0;
   std::string answer_;
   std::string report_;
   std::string noReply_;
+  const std::string emptyQuery_ = pg::query("");
+  const std::string emptyQueryReply_ = pg::emptyQueryReply();
 };
 
 // Pins this process to a core if the machine has at least four, so that it does not migrate between cores
@@ -110,14 +121,14 @@
 
 // The endpoint and the list service, in a process of their own.
 struct Backend {
-  Backend() {
+  explicit Backend(bool distinctValues) {
     int ends[2] = {-1, -1};
     if (::pipe(ends) != 0) throw std::runtime_error("cannot create a pipe for the ports of the backend");
     pid = ::fork();
     if (pid == 0) {
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);
       pinToCore(2);
-      run(ends[1]);
+      run(ends[1], distinctValues);
     }
     std::uint16_t ports[3] = {};
     if (::read(ends[0], ports, sizeof ports) != sizeof ports)
@@ -132,10 +143,10 @@
     ::kill(pid, SIGKILL);
     ::waitpid(pid, nullptr, 0);
   }
-  [[noreturn]] static void run(int portsPipe) {
+  [[noreturn]] static void run(int portsPipe, bool distinctValues) {
     transport::EventLoop loop;
-    PreparedEndpoint postgresServer(loop, kLoopback, Speaks::Postgres);
-    PreparedEndpoint boltServer(loop, kLoopback, Speaks::Bolt);
+    PreparedEndpoint postgresServer(loop, kLoopback, Speaks::Postgres, distinctValues);
+    PreparedEndpoint boltServer(loop, kLoopback, Speaks::Bolt, false);
     DiscoveryStandIn discoveryServer(loop);
     discoveryServer.endpoints = list(postgresServer.socketAddress(), boltServer.socketAddress());
     const std::uint16_t ports[3] = {postgresServer.socketAddress().port, boltServer.socketAddress().port,
@@ -447,8 +458,9 @@
   return {growth(false), growth(true)};
 }
 
-int measure(const std::string& before, const std::string& after, int rounds, double seconds) {
-  const Backend backend;
+int measure(const std::string& before, const std::string& after, int rounds, double seconds,
+            bool distinctValues) {
+  const Backend backend(distinctValues);
   pinToCore(3);
   std::vector<Subject> subjects = {
       {"the endpoint itself, PostgreSQL", "", Speaks::Postgres, false, {}, {}},
@@ -558,9 +570,12 @@
       ->check(CLI::ExistingFile);
   app.add_option("--rounds", rounds)->check(CLI::Range(1, 100));
   app.add_option("--seconds", seconds, "Length of each run")->check(CLI::Range(0.1, 60.0));
+  bool distinctValues = false;
+  app.add_flag("--distinct-values", distinctValues,
+               "PostgreSQL's values quote the ids of their requests; otherwise all are equal");
   CLI11_PARSE(app, argc, argv);
   try {
-    return measure(before, after, rounds, seconds);
+    return measure(before, after, rounds, seconds, distinctValues);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "%s\n", error.what());
     return 2;
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -186,6 +186,12 @@
                                             ": its response can't be read");
 }
 
+void ConnectionPool::onSurplusAnswers(EndpointConnection& connection, std::size_t count) {
+  observer_.counters.endpointSurplusAnswers += count;
+  observer_.log(stats::Topic::Upstream, toText(connection.socketAddress()) +
+                                            " sent an answer again; the copy was not taken for the next one");
+}
+
 void ConnectionPool::onConnectFailed(EndpointConnection&) { ++observer_.counters.connectionsFailed; }
 
 void ConnectionPool::closeExpired() {
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -69,6 +69,7 @@
   void onIdle(EndpointConnection& connection) override;
   void onClosed(EndpointConnection& connection, bool whileIdle) override;
   void onProtocolError(EndpointConnection& connection) override;
+  void onSurplusAnswers(EndpointConnection& connection, std::size_t count) override;
   void onConnectFailed(EndpointConnection& connection) override;
   EndpointConnection* takeIdle(ProtocolPool& pool, Selection selection);
   StartResult startOnNewConnection(EndpointId endpoint, std::size_t protocol, Exchange& exchange,
--- a/src/upstream/endpoint_connection.cpp
+++ b/src/upstream/endpoint_connection.cpp
@@ -111,7 +111,12 @@
     const std::string_view bytes = stream_.input().view();
     const std::size_t before = stream_.output().size();
     const protocol::EndpointSide::Event event = side_->feed(bytes, inputFull_, stream_.output());
-    if (stream_.output().size() != before) stream_.flush();
+    if (const std::size_t written = stream_.output().size() - before; written != 0) {
+      if (requestStarted_) requestBytes_ += written;
+      stream_.flush();
+    }
+    if (const std::size_t count = side_->takeSurplusAnswers(); count != 0)
+      owner_.onSurplusAnswers(*this, count);
     action = handle(event, bytes);
   }
   if (action == ReadAction::Wait) return;
@@ -143,8 +148,7 @@
 
 EndpointConnection::ReadAction EndpointConnection::onReady() {
   connectTimer_.disarm();
-  ready_ = true;
-  readySince_ = loop_.now();
+  if (!std::exchange(ready_, true)) readySince_ = loop_.now();
   consumeInput();
   if (!stream_.input().empty()) return ReadAction::ProtocolError;
   if (exchange_ == nullptr) {
@@ -190,12 +194,12 @@
   const ExchangeStage reached = stage();
   const bool rolledBack = answer != nullptr ? answer->rolledBack : rolledBackByClose();
   const bool complete = cause == ExchangeEnd::Cause::Answered || cause == ExchangeEnd::Cause::Cancelled;
-  const bool inSync = complete && !stream_.closed() && side_->parsedBytes() == stream_.input().size() &&
-                      stream_.output().empty();
-  const bool keep = inSync && side_->usable();
+  const bool intact = complete && !stream_.closed() && stream_.output().empty();
+  const bool allParsed = side_->parsedBytes() == stream_.input().size();
+  const bool keep = intact && allParsed && side_->usable();
   if (!ready_) owner_.onConnectFailed(*this);
-  // After a failed request the protocol may make the connection usable again, within the connect timeout.
-  const bool recovering = inSync && !keep && ready_ && side_->recover(stream_.output());
+  // The protocol may make the connection usable again, within the connect timeout.
+  const bool recovering = intact && !side_->usable() && ready_ && side_->recover(stream_.output());
   paused_ = false;
   // The connection is closed before the exchange is notified that it has ended, because that may start the
   // next attempt, and attempts must not overlap.
@@ -211,7 +215,10 @@
   if (keep) return owner_.onIdle(*this);
   requestStarted_ = false;
   connectTimer_.arm(loop_.now() + connectTimeout_);
+  inputFull_ = false;
   stream_.flush();
+  stream_.resume();
+  if (!stream_.input().empty()) readInput();
 }
 
 void EndpointConnection::onEnd(transport::StreamEnd how) {
--- a/src/upstream/endpoint_connection.h
+++ b/src/upstream/endpoint_connection.h
@@ -60,6 +60,8 @@
   // @param whileIdle  the endpoint closed the connection, or sent something, while there was no exchange.
   virtual void onClosed(EndpointConnection& connection, bool whileIdle) = 0;
   virtual void onProtocolError(EndpointConnection& connection) = 0;
+  // @param count  of the answers that the endpoint has sent and that belong to no exchange.
+  virtual void onSurplusAnswers(EndpointConnection& connection, std::size_t count) = 0;
   virtual void onConnectFailed(EndpointConnection& connection) = 0;
 };
 
@@ -145,7 +147,7 @@
   bool paused_ = false;           // the response waits for the exchange to take more of it
   bool inputFull_ = false;        // the input had no room left when it was last read
   bool writeBlocked_ = false;     // the exchange waits to write more of the request
-  std::size_t requestBytes_ = 0;  // handed to the stream
+  std::size_t requestBytes_ = 0;  // handed to the stream since the exchange began to write
 };
 
 }  // namespace heathflow::upstream
--- a/tests/endpoint_connection_test.cpp
+++ b/tests/endpoint_connection_test.cpp
@@ -1,7 +1,10 @@
 // Races between a request in flight and a connection that closes, or a primary that loses leadership.
 #include <gtest/gtest.h>
 
+#include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "race_test.h"
 
@@ -10,6 +13,12 @@
 
 class EndpointRace : public ConnectionRace {};
 
+// Returns the id of a request, or of the answer that quotes it.
+std::string idOf(const std::string& statement) {
+  const std::size_t at = statement.find("id=");
+  return at == std::string::npos ? "none" : statement.substr(at, statement.find(',', at) - at);
+}
+
 // The endpoint closes an idle connection, or sends unexpected bytes on it, in the turn of the event loop in
 // which a request arrives. The request runs once, on a new connection.
 TEST_P(EndpointRace, ARequestDuringTheCloseOfAnIdleConnectionUsesANewOne) {
@@ -129,6 +138,92 @@
   }
 }
 
+// Makes the endpoint of a rig send a second copy of each answer. The copy arrives behind the next request, as
+// over a network with a delay.
+class CopyingEndpoint {
+ public:
+  explicit CopyingEndpoint(GatewayRig& rig) : rig_(rig) {
+    rig.endpoints[0]->answer = [this](Line& line, const std::string& statement) {
+      const bool rejects = idOf(statement) == rejectedOnce_;
+      if (rejects) rejectedOnce_.clear();
+      if (!rejects) ran.push_back(idOf(statement));
+      sendBehindCopy(line, rejects ? rig_.endpoints[0]->error("53300") : rig_.endpoints[0]->value(statement));
+    };
+  }
+  // Sends the copy that is due on the connection, then the answer.
+  void sendBehindCopy(Line& line, const std::string& answer) {
+    std::string& copy = copies_[&line];
+    line.say(copy + answer);
+    copy = answer;
+  }
+  void rejectOnce(const std::string& statement) { rejectedOnce_ = idOf(statement); }
+
+  std::vector<std::string> ran;  // the requests that were not rejected
+
+ private:
+  GatewayRig& rig_;
+  std::map<Line*, std::string> copies_;
+  std::string rejectedOnce_;
+};
+
+// Sends requests of one class at the same time, so that they use as many connections. Expects that each
+// client is served the value for its own request.
+void expectOwnValues(GatewayRig& rig, const std::string& className, const std::string& name,
+                     std::size_t count) {
+  std::vector<std::unique_ptr<ClientStandIn>> clients;
+  const auto idFor = [&](std::size_t i) { return name + std::to_string(i); };
+  for (std::size_t i = 0; i < count; ++i) {
+    clients.push_back(std::make_unique<ClientStandIn>(rig.loop, rig.socketAddress));
+    clients.back()->ask(request(className, idFor(i)));
+  }
+  for (std::size_t i = 0; i < count; ++i) {
+    ASSERT_TRUE(clients[i]->answered());
+    EXPECT_EQ(idOf(clients[i]->value()), "id=" + idFor(i));
+  }
+}
+
+// Failure: the second copy of an answer is served to the next client on that connection.
+TEST(CopiedAnswers, AreNotServedToTheNextClient) {
+  GatewayRig rig({}, 1);
+  const CopyingEndpoint endpoint(rig);
+  for (int i = 0; i < 10; ++i) expectOwnValues(rig, i % 2 == 0 ? "save" : "any", std::to_string(i), 1);
+  EXPECT_EQ(endpoint.ran.size(), 10U);
+  EXPECT_EQ(rig.counters().endpointSurplusAnswers, 9U);
+  EXPECT_EQ(rig.counters().connectionsOpened, 1U) << "the connection is kept";
+}
+
+// Failure: the copy of a rejection counts as the proof that the next write never ran, and the write runs
+// twice.
+TEST(CopiedAnswers, ThatAreRejectionsRepeatNoWrite) {
+  GatewayRig rig({}, 1);
+  CopyingEndpoint endpoint(rig);
+  endpoint.rejectOnce(request("save", "a0"));
+  expectOwnValues(rig, "save", "a", 1);
+  expectOwnValues(rig, "save", "b", 2);
+  EXPECT_EQ(endpoint.ran.size(), 3U);
+  EXPECT_EQ(rig.counters().endpointSurplusAnswers, 2U);
+}
+
+// Failure: the copy of a load report is served to a client.
+TEST(CopiedAnswers, ToHealthChecksAreNotServedToClients) {
+  GatewayOptions options;
+  options.maxAgeMs = 3'000;
+  GatewayRig rig(options, 2);
+  std::map<Line*, std::string> copies;
+  for (auto& endpoint : rig.endpoints) {
+    endpoint->answer = [&, own = endpoint.get()](Line& line, const std::string& statement) {
+      line.say(std::exchange(copies[&line], "") + own->value(statement));
+    };
+    endpoint->healthCheck = [&, own = endpoint.get()](Line& line, const std::string&) {
+      const std::string position = std::to_string(rig.loop.now() / kSecond) + ".000";
+      copies[&line] = pg::row("x0=" + position + (own->primary ? ",x1=1" : ",x1=0")) + pg::ready();
+      line.say(copies[&line]);
+    };
+  }
+  for (int i = 0; i < 10; ++i) expectOwnValues(rig, "view", std::to_string(i) + "-", 4);
+  EXPECT_GE(rig.counters().endpointSurplusAnswers, 1U);
+}
+
 INSTANTIATE_TEST_SUITE_P(Protocols, EndpointRace, kBothProtocols, protocolName);
 
 }  // namespace
--- a/tests/pg_client_test.cpp
+++ b/tests/pg_client_test.cpp
@@ -18,10 +18,11 @@
 struct Endpoint {
   PgClient client;
   std::string input;
+  Buffer out{1024};
 
   Event feed(std::string_view bytes) {
     input += bytes;
-    return client.feed(input);
+    return client.feed(input, out);
   }
   void consume() {
     input.erase(0, client.parsedBytes());
@@ -33,6 +34,14 @@
     consume();
     client.onQueryWritten();
   }
+  // Completes a query with the answer, and sends the next one.
+  void answerAndAskAgain(const std::string& answer) {
+    ASSERT_EQ(feed(answer), Event::Answered);
+    consume();
+    ASSERT_TRUE(client.usable());
+    client.onQueryWritten();
+  }
+  std::string value() const { return std::string(of(client.answer().value)); }
   std::string_view of(const Slice& slice) const { return slice.of(input); }
 };
 
@@ -152,6 +161,127 @@
   EXPECT_EQ(endpoint.client.answer().kind, Kind::Empty);
 }
 
+std::string rowAnswer(std::string_view value) {
+  return pg::row(value) + pg::parameter("mode", "read-only") + pg::ready();
+}
+
+// An endpoint may return the same value twice. The reply to the empty query shows that this is no copy.
+TEST(PgClientCopies, AnAnswerThatRepeatsTheOneBeforeIsVerified) {
+  const std::string next = rowAnswer("same") + pg::emptyQueryReply();
+  for (std::size_t at = 0; at < next.size(); ++at) {
+    Endpoint endpoint;
+    endpoint.ask();
+    endpoint.answerAndAskAgain(rowAnswer("same"));
+    ASSERT_EQ(endpoint.feed(std::string_view(next).substr(0, at)), Event::NeedMore) << at;
+    EXPECT_FALSE(endpoint.client.completeAtClose()) << at;
+    ASSERT_EQ(endpoint.feed(std::string_view(next).substr(at)), Event::Answered) << at;
+    EXPECT_EQ(endpoint.out.view(), pg::query(""));
+    EXPECT_EQ(endpoint.value(), "same");
+    EXPECT_EQ(endpoint.client.answer().primary, false);
+    EXPECT_TRUE(endpoint.client.usable());
+    EXPECT_EQ(endpoint.client.takeSurplusAnswers(), 0U);
+  }
+}
+
+TEST(PgClientCopies, AnAnswerThatDiffersIsNotVerified) {
+  Endpoint endpoint;
+  endpoint.ask();
+  endpoint.answerAndAskAgain(rowAnswer("one"));
+  endpoint.answerAndAskAgain(rowAnswer("two"));
+  endpoint.answerAndAskAgain(pg::error("53300") + pg::ready());
+  endpoint.answerAndAskAgain(rowAnswer("two"));
+  EXPECT_TRUE(endpoint.out.empty());
+}
+
+// Failure: the second copy of an answer is taken for the answer to the next query.
+TEST(PgClientCopies, ACopyIsNotTakenForTheNextAnswer) {
+  const std::string next = rowAnswer("one") + rowAnswer("two");
+  for (std::size_t at = 0; at < next.size(); ++at) {
+    Endpoint endpoint;
+    endpoint.ask();
+    endpoint.answerAndAskAgain(rowAnswer("one"));
+    ASSERT_EQ(endpoint.feed(std::string_view(next).substr(0, at)), Event::NeedMore) << at;
+    ASSERT_EQ(endpoint.feed(std::string_view(next).substr(at)), Event::Answered) << at;
+    EXPECT_EQ(endpoint.value(), "two");
+    EXPECT_EQ(endpoint.client.takeSurplusAnswers(), 1U);
+    endpoint.consume();
+    EXPECT_FALSE(endpoint.client.usable()) << "the empty query has no reply yet";
+    EXPECT_TRUE(endpoint.client.awaitsEmptyQueryReply());
+    EXPECT_EQ(endpoint.feed(pg::emptyQueryReply()), Event::Ready);
+    EXPECT_TRUE(endpoint.client.usable());
+  }
+}
+
+// Failure: a copied rejection is taken for the proof that the next write has not run.
+TEST(PgClientCopies, ACopiedErrorIsNotTakenForTheNextAnswer) {
+  for (const char* code : {"53300", "25006", "72000", "XX000"}) {
+    Endpoint endpoint;
+    endpoint.ask();
+    endpoint.answerAndAskAgain(pg::error(code) + pg::ready());
+    EXPECT_EQ(endpoint.feed(pg::error(code) + pg::ready()), Event::NeedMore) << code;
+    EXPECT_EQ(endpoint.feed(rowAnswer("two")), Event::Answered) << code;
+    EXPECT_EQ(endpoint.value(), "two") << code;
+  }
+}
+
+TEST(PgClientCopies, WhatTheEndpointReportsOfItselfMakesNoDifference) {
+  Endpoint endpoint;
+  endpoint.ask();
+  endpoint.answerAndAskAgain(rowAnswer("one"));
+  const std::string copy = pg::parameter("mode", "read-write") + pg::parameter("wal_time", "7") +
+                           pg::message('N', std::string(1, '\0')) + pg::row("one") + pg::ready();
+  EXPECT_EQ(endpoint.feed(copy), Event::NeedMore);
+  EXPECT_EQ(endpoint.feed(rowAnswer("two")), Event::Answered);
+  EXPECT_EQ(endpoint.client.answer().primary, false) << "of the copy";
+  EXPECT_EQ(endpoint.client.answer().positionMs, std::nullopt) << "of the copy";
+}
+
+TEST(PgClientCopies, AnswersBehindTheAnswerAreDiscardedUntilTheReplyToTheEmptyQuery) {
+  Endpoint endpoint;
+  endpoint.ask();
+  endpoint.answerAndAskAgain(rowAnswer("one"));
+  ASSERT_EQ(endpoint.feed(rowAnswer("one") + rowAnswer("two")), Event::Answered);
+  endpoint.consume();
+  EXPECT_EQ(endpoint.feed(rowAnswer("two")), Event::NeedMore);
+  EXPECT_EQ(endpoint.feed(pg::emptyQueryReply()), Event::Ready);
+  EXPECT_EQ(endpoint.client.takeSurplusAnswers(), 2U);
+  endpoint.consume();
+  endpoint.client.onQueryWritten();
+  EXPECT_EQ(endpoint.feed(pg::emptyQueryReply()), Event::NeedMore) << "a copy of the reply";
+  EXPECT_EQ(endpoint.feed(rowAnswer("three")), Event::Answered);
+  EXPECT_EQ(endpoint.value(), "three");
+}
+
+// The end of a copy whose beginning is missing.
+TEST(PgClientCopies, AnAnswerWithoutARowIsVerified) {
+  Endpoint endpoint;
+  endpoint.ask();
+  endpoint.answerAndAskAgain(rowAnswer("one"));
+  EXPECT_EQ(endpoint.feed(pg::complete() + pg::ready()), Event::NeedMore);
+  EXPECT_EQ(endpoint.feed(rowAnswer("two")), Event::Answered);
+  EXPECT_EQ(endpoint.value(), "two");
+}
+
+TEST(PgClientCopies, ACopyIsNoAnswerIfTheConnectionEndsBehindIt) {
+  Endpoint endpoint;
+  endpoint.ask();
+  endpoint.answerAndAskAgain(rowAnswer("one"));
+  endpoint.feed(pg::row("one"));
+  EXPECT_FALSE(endpoint.client.completeAtClose()) << "before ReadyForQuery";
+  endpoint.feed(pg::ready());
+  EXPECT_FALSE(endpoint.client.completeAtClose());
+}
+
+TEST(PgClientCopies, NoiseBehindACopyBreaksTheConnection) {
+  for (const std::string& noise : {std::string("noise\r\n\r\n"), pg::welcome(), pg::ready()}) {
+    Endpoint endpoint;
+    endpoint.ask();
+    endpoint.answerAndAskAgain(rowAnswer("one"));
+    ASSERT_EQ(endpoint.feed(rowAnswer("one")), Event::NeedMore);
+    EXPECT_EQ(endpoint.feed(noise), Event::Broken);
+  }
+}
+
 // Unsolicited bytes must not be taken for the answer to the next request.
 TEST(PgClientAnswers, UnsolicitedBytesBreakTheConnection) {
   Endpoint endpoint;
