Known red: a second copy of an answer is served to the next client over Bolt

Cause: Bolt's replies do not name their requests either; found with the test of the fault over PostgreSQL on the related path.

--- a/tests/endpoint_connection_test.cpp
+++ b/tests/endpoint_connection_test.cpp
@@ -192,6 +192,16 @@
   EXPECT_EQ(rig.counters().connectionsOpened, 1U) << "the connection is kept";
 }
 
+// Failure: the same over Bolt, whose replies do not name their requests either.
+TEST(CopiedAnswersOverBolt, AreNotServedToTheNextClient) {
+  GatewayOptions options;
+  options.speaks = Speaks::Bolt;
+  GatewayRig rig(options, 1);
+  const CopyingEndpoint endpoint(rig);
+  for (int i = 0; i < 10; ++i) expectOwnValues(rig, "any", std::to_string(i), 1);
+  EXPECT_EQ(endpoint.ran.size(), 10U);
+}
+
 // Failure: the copy of a rejection counts as the proof that the next write never ran, and the write runs
 // twice.
 TEST(CopiedAnswers, ThatAreRejectionsRepeatNoWrite) {
