An error behind a repeated answer proves nothing before the empty query is answered

Taken for the query's own answer, a 53300 there would prove that a write never ran which has run.

Change: in doubt a row counts at once, an error only with the reply to the empty query; a fatal error ends the connection as may have run.

--- a/src/protocol/pg_client.cpp
+++ b/src/protocol/pg_client.cpp
@@ -192,6 +192,8 @@
   }
   answer_.fatal = fields.fatal();
   if (!answer_.fatal) return Event::NeedMore;
+  // The connection ends, so the answer can't be verified any more.
+  if (mustVerify_) return broken();
   phase_ = Phase::Dead;
   return Event::Answered;
 }
@@ -201,27 +203,30 @@
   outcomeKnown_ = true;
   const std::string_view content = (kind == PgAnswer::Kind::Row ? answer_.value : answer_.code).of(bytes);
   fingerprint_ = {kind, XXH3_64bits(content.data(), content.size())};
+  const bool isRow = kind == PgAnswer::Kind::Row;
   const bool hasPrevious = previousFingerprint_.kind != PgAnswer::Kind::None;
-  const bool mayBeCopy = kind == PgAnswer::Kind::Empty || fingerprint_ == previousFingerprint_;
-  mustVerify_ = hasPrevious && mayBeCopy && !emptyQueryWritten_;
+  const bool repeatsPrevious = fingerprint_ == previousFingerprint_;
+  // Behind an empty query an error may also be an unusual reply to that.
+  mustVerify_ =
+      emptyQueryWritten_ ? !isRow : hasPrevious && (repeatsPrevious || kind == PgAnswer::Kind::Empty);
 }
 
 // Handles the end of a complete answer.
 PgClient::Event PgClient::finishAnswer(Buffer& out) {
   previousFingerprint_ = fingerprint_;
-  if (mustVerify_) {
-    if (!writeQuery(out, {}, {}, {})) return broken();
-    emptyQueryWritten_ = true;
-    mustVerify_ = emptyQueryReplyStarted_ = false;
-    unverified_ = std::exchange(answer_, PgAnswer{});
-    phase_ = Phase::Verifying;
-    return Event::NeedMore;
+  if (!mustVerify_) {
+    phase_ = emptyQueryWritten_ ? Phase::Synchronizing : Phase::Idle;
+    return Event::Answered;
   }
-  phase_ = emptyQueryWritten_ ? Phase::Synchronizing : Phase::Idle;
-  return Event::Answered;
+  if (!emptyQueryWritten_ && !writeQuery(out, {}, {}, {})) return broken();
+  emptyQueryWritten_ = true;
+  emptyQueryReplyStarted_ = false;
+  unverified_ = std::exchange(answer_, PgAnswer{});
+  phase_ = Phase::Verifying;
+  return Event::NeedMore;
 }
 
-// Handles what follows an answer that repeats the one before.
+// Handles what follows an answer that has to be verified.
 PgClient::Event PgClient::handleVerificationMessage(const Frame& frame, std::string_view bytes, Buffer& out) {
   if (takeEmptyQueryReply(frame)) {
     if (emptyQueryReplyStarted_) return Event::NeedMore;
@@ -231,7 +236,7 @@
   }
   if (emptyQueryReplyStarted_) return broken();
   ++surplusAnswers_;
-  outcomeKnown_ = false;
+  outcomeKnown_ = mustVerify_ = false;
   phase_ = Phase::Busy;
   return handleQueryMessage(frame, bytes, out);
 }
--- a/src/protocol/pg_client.h
+++ b/src/protocol/pg_client.h
@@ -4,8 +4,9 @@
 // An answer does not name its query, and an endpoint may send a second copy of an answer, which arrives
 // behind the next query. So an answer that repeats the one before is verified: an empty query is written, and
 // an endpoint answers in order. If the reply to the empty query comes next, the answer belongs to the query;
-// if another answer comes first, that one does, and the repeated one is surplus. An answer without a row,
-// which no query asks for, may be the end of a copy and is verified too.
+// if another answer comes first, that one does, and the repeated one is surplus. If that is an error, it
+// counts only together with the reply to the empty query, because an error may prove that the query has not
+// run. An answer without a row, which no query asks for, may be the end of a copy and is verified too.
 #pragma once
 
 #include <cstddef>
@@ -75,8 +76,8 @@
   enum class Phase {
     Starting,
     Idle,
-    Busy,       // a query has been written
-    Verifying,  // an answer has come that may be a copy of the one before; an empty query has been written
+    Busy,           // a query has been written
+    Verifying,      // an answer has come that must be verified, and an empty query has been written
     Synchronizing,  // the query is answered, but the empty query is not
     Dead
   };
@@ -107,13 +108,13 @@
   std::size_t parsed_ = 0;
   bool answerStarted_ = false;       // a part of the answer has been received
   bool outcomeKnown_ = false;        // the kind of the answer can no longer change
-  bool mustVerify_ = false;          // the answer may be a copy of the one before
+  bool mustVerify_ = false;          // the answer may belong to no query
   bool emptyQueryWritten_ = false;   // since the query
   bool emptyQueryAnswered_ = false;  // on this connection
   bool emptyQueryReplyStarted_ = false;
   std::size_t surplusAnswers_ = 0;
   PgAnswer answer_;
-  PgAnswer unverified_;  // in Phase::Verifying, the answer that may be a copy
+  PgAnswer unverified_;  // in Phase::Verifying, the last complete answer
   Fingerprint fingerprint_;
   Fingerprint previousFingerprint_;
 };
--- a/tests/pg_client_test.cpp
+++ b/tests/pg_client_test.cpp
@@ -224,6 +224,33 @@
   }
 }
 
+// Failure: a rejection of the empty query is taken for the proof that the query has not run.
+TEST(PgClientCopies, AnErrorBehindARepeatedAnswerCountsOnlyWithTheReplyToTheEmptyQuery) {
+  Endpoint endpoint;
+  endpoint.ask();
+  endpoint.answerAndAskAgain(rowAnswer("one"));
+  EXPECT_EQ(endpoint.feed(rowAnswer("one") + pg::error("53300")), Event::NeedMore);
+  EXPECT_FALSE(endpoint.client.completeAtClose());
+  EXPECT_EQ(endpoint.feed(pg::ready()), Event::NeedMore);
+  EXPECT_FALSE(endpoint.client.completeAtClose());
+  EXPECT_EQ(endpoint.out.view(), pg::query("")) << "one is enough";
+  EXPECT_EQ(endpoint.feed(pg::emptyQueryReply()), Event::Answered);
+  EXPECT_EQ(endpoint.client.answer().kind, Kind::Error);
+  EXPECT_EQ(endpoint.of(endpoint.client.answer().code), "53300");
+  EXPECT_TRUE(endpoint.client.usable());
+  EXPECT_EQ(endpoint.client.takeSurplusAnswers(), 1U);
+}
+
+// Failure: the end of a connection behind an answer is taken for the proof that the query has not run.
+TEST(PgClientCopies, AFatalErrorBehindARepeatedAnswerProvesNothing) {
+  for (const std::string& repeated : {pg::row("one"), rowAnswer("one")}) {
+    Endpoint endpoint;
+    endpoint.ask();
+    endpoint.answerAndAskAgain(rowAnswer("one"));
+    EXPECT_EQ(endpoint.feed(repeated + pg::error("53300", "FATAL")), Event::Broken);
+  }
+}
+
 TEST(PgClientCopies, WhatTheEndpointReportsOfItselfMakesNoDifference) {
   Endpoint endpoint;
   endpoint.ask();
