A clock lead is kept until the primary reports without it

Cause, on the path of the session reads' fault: EndpointTime dropped a lead once two windows of 30 s had passed without a position that showed it, also where no primary had reported in them. After a quiet minute a replica's report, which lags, ended the lead, and bounded reads took that replica for up to a second more recent than it was.

Change: only a window in which a primary reports can lower the lead.

--- a/src/wallclock/endpoint_time.cpp
+++ b/src/wallclock/endpoint_time.cpp
@@ -21,14 +21,19 @@
   return observed <= kRounding ? 0 : observed + kMaxNetworkDelay;
 }
 
+// A window without a position of the primary shows no lower lead, because positions of replicas lag.
+void EndpointTime::startWindow(Micros now) {
+  previousHighest_ = primaryInWindow_ ? highest_ : std::max(highest_, previousHighest_);
+  highest_ = 0;
+  primaryInWindow_ = false;
+  windowStart_ = now;
+}
+
 bool EndpointTime::observe(Micros position, Micros now, bool byPrimary) {
   if (position - now > kMaxClockLead) return false;
+  if (windowStart_ == kNever || now - windowStart_ >= kWindow) startWindow(now);
   primaryObserved_ = primaryObserved_ || byPrimary;
-  if (windowStart_ == kNever || now - windowStart_ >= kWindow) {
-    previousHighest_ = windowStart_ == kNever || now - windowStart_ >= 2 * kWindow ? 0 : highest_;
-    highest_ = 0;
-    windowStart_ = now;
-  }
+  primaryInWindow_ = primaryInWindow_ || byPrimary;
   highest_ = std::max(highest_, position - now);
   return true;
 }
--- a/src/wallclock/endpoint_time.h
+++ b/src/wallclock/endpoint_time.h
@@ -35,9 +35,12 @@
  private:
   static constexpr Micros kNever = std::numeric_limits<Micros>::min();
 
+  void startWindow(Micros now);
+
   bool primaryObserved_ = false;
-  Micros highest_ = 0;          // the highest lead of a position in the current window
-  Micros previousHighest_ = 0;  // and in the previous window
+  bool primaryInWindow_ = false;  // a primary has reported a position in the current window
+  Micros highest_ = 0;            // the highest lead of a position in the current window
+  Micros previousHighest_ = 0;    // and in the previous window, or the last in which a primary has reported
   Micros windowStart_ = kNever;
 };
 
--- a/tests/start_times_test.cpp
+++ b/tests/start_times_test.cpp
@@ -114,6 +114,19 @@
       << "the lead does not grow beyond its maximum";
 }
 
+// Failure: after a quiet time a replica's report ends the lead, and the replica looks more recent than it is.
+TEST(EndpointTime, KeepsALeadUntilThePrimaryReportsWithoutIt) {
+  EndpointTime clocks;
+  (void)clocks.observe(kStart + 500'000, kStart, true);
+  Micros at = kStart + 90 * kSecond;
+  for (; at < kStart + 200 * kSecond; at += kSecond) {
+    (void)clocks.observe(at - kSecond, at, false);
+    ASSERT_EQ(clocks.lead(), 550'000) << at - kStart;
+  }
+  for (; at < kStart + 270 * kSecond; at += kSecond) (void)clocks.observe(at, at, true);
+  EXPECT_EQ(clocks.lead(), 0);
+}
+
 TEST(EndpointTime, ForgetsALeadThatNoPositionShowsAnyMore) {
   EndpointTime clocks;
   (void)clocks.observe(kStart + 500'000, kStart, true);
