Review case 7: a draining member that reports gets requests on an expired list

On an expired list an answered SHOW stats counts as evidence that an endpoint does not drain; the protocol page lets a member answer it with its report at any time.

--- a/review/common-2/standins.h
+++ b/review/common-2/standins.h
@@ -427,7 +427,8 @@
  public:
   enum class Mode {
     Normal,
-    Crowded,  // each call ends with 503, as one that waited too long; open watches too
+    Crowded,  // a call that is due waits for its turn, and ends with 503 after a second, as it waited too
+              // long
   };
   ListService(Loop& loop, Record& record)
       : loop_(loop), record_(record), listener_(loop, INADDR_LOOPBACK, [this](ConnectionPtr connection) {
@@ -461,6 +462,7 @@
     ConnectionPtr connection;
     int since = 0;
     Micros until = 0;
+    Micros dueAt = 0;  // since when it waits for its turn at a crowded service
   };
   void accept(ConnectionPtr connection) {
     connections_.push_back(connection);
@@ -496,25 +498,31 @@
       };
       record_.line("list: call " + request.substr(4, request.rfind(' ') - 4));
       watches_.push_back({from.shared_from_this(), static_cast<int>(number("since")),
-                          now() + std::max(0L, number("timeout_ms")) * kMilli});
+                          now() + std::max(0L, number("timeout_ms")) * kMilli, 0});
       answerWatches();
     }
   }
   void answerWatches() {
+    constexpr Micros kLongestTurn = kSecond;
     for (auto watch = watches_.begin(); watch != watches_.end();) {
-      const bool changed = watch->since < 0 || watch->since < revision_ || now() >= watch->until;
-      if (mode_ == Mode::Crowded) {
-        record_.line("list: answers 503");
-        reply(*watch->connection, 503, "");
-      } else if (changed) {
+      const bool due = watch->since < 0 || watch->since < revision_ || now() >= watch->until;
+      if (due && mode_ == Mode::Crowded && watch->dueAt == 0) watch->dueAt = now();
+      if (!due) {
+        loop_.at(watch->until, [this] { answerWatches(); });
+      } else if (mode_ == Mode::Normal) {
         record_.line("list: answers with revision " + std::to_string(revision_));
         reply(*watch->connection, 200, document(watch->since));
-      } else {
-        loop_.at(watch->until, [this] { answerWatches(); });
-        ++watch;
+        watch = watches_.erase(watch);
         continue;
+      } else if (now() >= watch->dueAt + kLongestTurn) {
+        record_.line("list: answers 503");
+        reply(*watch->connection, 503, "");
+        watch = watches_.erase(watch);
+        continue;
+      } else {
+        loop_.at(watch->dueAt + kLongestTurn, [this] { answerWatches(); });
       }
-      watch = watches_.erase(watch);
+      ++watch;
     }
   }
 
