--- a/review/common-2/settings.h
+++ b/review/common-2/settings.h
@@ -11,6 +11,7 @@
   long drainGraceMs = 250;
   long idleMs = 15'000;
   const char* saveEffect = "dedup";
+  long saveDeadlineMs = 5'000;
   long keyWindowMs = 5'000;
   long maxAgeMs = 3'000;
   const char* ownConsistency = "session";
@@ -32,7 +33,7 @@
            classOf("lookup", 500, 2000, "retryable", 2, 0) + "," +
            classOf("status", 300, 1000, "retryable", 2, 0) + "," +
            classOf("report", 4000, reportDeadlineMs, "retryable", 6, 0) + "," +
-           classOf("save", 750, 5000, saveEffect, 3, 0.3) + "," +
+           classOf("save", 750, saveDeadlineMs, saveEffect, 3, 0.3) + "," +
            classOf("own", 400, 1200, "retryable", 1, 0.2) +
            "],\"Contract\":{\"AnswerSlack\":20000,\"AskWithin\":10000000,\"ColdFrom\":0.15,\"DrainGrace\":" +
            micros(drainGraceMs) +
