--- a/review/common-2/standins.h
+++ b/review/common-2/standins.h
@@ -808,13 +808,15 @@
   const Address& address() const { return address_; }
   int pid() const { return pid_; }
   const std::string& logFile() const { return log_; }
-  void start(const std::string& discovery, const std::string& known, const std::string& settings) {
+  // @param arguments  behind the deploy file's command; empty: as on the platform.
+  void start(const std::string& discovery, const std::string& known, const std::string& settings,
+             const std::string& arguments = "") {
     std::ofstream(config_) << "{\"name\":\"" << options_.name << "\",\"listen\":\"" << address_.text()
                            << "\",\"discovery\":\"" << discovery << "\",\"seed\":\"" << options_.seed
                            << "\",\"limits\":{\"cores\":1.0,\"memory_mb\":" << options_.memoryMb
                            << ",\"sockets\":" << options_.sockets << "},\"known\":" << known
                            << ",\"settings\":" << settings << "}";
-    const std::string command = deployCommand("run");
+    const std::string command = deployCommand("run") + (arguments.empty() ? "" : " " + arguments);
     pid_ = ::fork();
     if (pid_ == 0) {
       const int out = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
