--- a/review/common-2/standins.h
+++ b/review/common-2/standins.h
@@ -8,6 +8,8 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -785,6 +787,22 @@
   throw std::runtime_error("the deploy file has no key " + key);
 }
 
+// The soft limit of descriptors that this process was started with; gateways get the same.
+inline rlimit& startLimit() {
+  static rlimit limit{};
+  return limit;
+}
+// Makes sure that this process may open so many descriptors, within its hard limit.
+// @return false if it may not.
+inline bool allowDescriptors(rlim_t count) {
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) return false;
+  if (limit.rlim_cur >= count) return true;
+  startLimit() = limit;
+  limit.rlim_cur = count;
+  return ::setrlimit(RLIMIT_NOFILE, &limit) == 0;
+}
+
 struct GatewayOptions {
   std::string name = "n0";
   std::string seed = "8c1f30d27a5be964";
@@ -819,6 +837,8 @@
     const std::string command = deployCommand("run") + (arguments.empty() ? "" : " " + arguments);
     pid_ = ::fork();
     if (pid_ == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // it ends with the test, however that ends
+      if (startLimit().rlim_max != 0) ::setrlimit(RLIMIT_NOFILE, &startLimit());
       const int out = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
       ::dup2(out, 1);
       ::dup2(out, 2);
