--- a/src/downstream/client_connection.cpp
+++ b/src/downstream/client_connection.cpp
@@ -50,7 +50,7 @@
       connectionNumber_(++context.connectionCount),
       side_(std::move(side)) {}
 
-ClientConnection::~ClientConnection() = default;
+ClientConnection::~ClientConnection() { setComplete(); }
 
 bool ClientConnection::adopt(transport::UniqueFd&& fd) {
   idleSince_ = loop_.now();
@@ -65,8 +65,27 @@
   if (stream_.hungUp()) return close(CloseReason::ByClient);
   recordArrivals();
   process();
-  // A message that does not fit into the memory budget ends its connection, which frees memory for others.
-  if (!stream_.stalled() || incompleteSince_ == 0 || busy_ || closed_ || lingering_) return;
+}
+
+// Makes room for a message that the memory budget has no room for, or rejects it. The input behind an open
+// request waits for that one instead, unless it belongs to it.
+void ClientConnection::onInputLacksMemory() {
+  if (closed_ || lingering_ || incompleteSince_ == 0 || reclaimInputMemory() || busy_) return;
+  closeForMemory();
+}
+
+// Returns whether the input may grow now. An incomplete part of an open request is worth more than the
+// message of another client.
+bool ClientConnection::reclaimInputMemory() {
+  const std::size_t needed = stream_.input().nextAllocation();
+  if (busy_) return loop_.memory().reclaim(needed);
+  while (!loop_.memory().hasRoomFor(needed)) {
+    if (!context_.incompleteMessages.closeOneFor(*this, loop_.now())) return false;
+  }
+  return true;
+}
+
+void ClientConnection::closeForMemory() {
   ++observer_.counters.memoryRejections;
   log(Topic::Limits, "closing the connection: out of buffer memory for its request");
   closeWithError(Reason::NoMemory, "no memory is left", CloseReason::NoMemory);
@@ -125,7 +144,7 @@
   if (!busy_) return false;
   if (!side_->acceptsRequestParts() || stream_.input().size() == requestSize_) {
     messageTimeout_.disarm();
-    incompleteSince_ = 0;
+    setComplete();
     return true;
   }
   // The next part of the request waits until the connection to its endpoint has room for it.
@@ -153,7 +172,7 @@
       linger(CloseReason::ProtocolError, kLingerTimeout);
       return false;
     case Kind::Request:
-      incompleteSince_ = 0;
+      setComplete();
       requestSize_ = step.consumed;
       beginRequest();
       return true;
@@ -164,7 +183,7 @@
       cancelRequest();
       return true;
     case Kind::Handled:
-      incompleteSince_ = 0;
+      setComplete();
       consumeInput(step.consumed);
       return true;
   }
@@ -177,13 +196,22 @@
   if (partial) {
     if (incompleteSince_ == 0 && !messageTimeout_.armed()) messageTimeout_.arm(loop_.now() + kMessageTimeout);
     if (incompleteSince_ == 0) incompleteSince_ = loop_.now();
+    if (!busy_ && stream_.input().charged() != 0) context_.incompleteMessages.add(*this);
   } else {
     if (identified_ || busy_) messageTimeout_.disarm();
-    incompleteSince_ = 0;
+    setComplete();
   }
   if (closeWhenIdle_ && sentRequest_ && stream_.input().empty()) closeIfIdle();
 }
 
+void ClientConnection::setComplete() {
+  if (std::exchange(incompleteSince_, 0) != 0) context_.incompleteMessages.remove(*this);
+}
+
+bool ClientConnection::incompleteTooLong(Micros now) const {
+  return incompleteSince_ != 0 && now - incompleteSince_ > kReactionTimeout;
+}
+
 // ---- Requests ----
 
 // Submits the request at the front of the input, or rejects it: as malformed, or because its client is to be
@@ -220,7 +248,7 @@
 
 // Forwards the next part of the open request, which starts at 'requestSize_' in the input.
 void ClientConnection::writeMore(std::size_t size) {
-  incompleteSince_ = 0;
+  setComplete();
   router_.writeMore(request_, stream_.input().view().substr(requestSize_, size));
   requestSize_ += size;
   if (responding_) consumeInput(std::exchange(requestSize_, 0));
@@ -270,7 +298,7 @@
 // not enough memory.
 bool ClientConnection::reserveOutput(const protocol::Answer& answer) {
   transport::Buffer& out = stream_.output();
-  if (out.reserve(out.size() + answer.size() + protocol::ClientSide::kHeadroom)) return true;
+  if (out.reserveOrReclaim(out.size() + answer.size() + protocol::ClientSide::kHeadroom)) return true;
   ++observer_.counters.memoryRejections;
   log(Topic::Limits, "response not forwarded: out of buffer memory");
   return false;
@@ -330,6 +358,7 @@
 void ClientConnection::linger(CloseReason why, Micros timeout) {
   recordClose(why);
   lingering_ = true;
+  setComplete();
   messageTimeout_.disarm();
   reactionTimeout_.disarm();
   owner_.onConnectionLingering(*this);
@@ -339,6 +368,7 @@
 void ClientConnection::close(CloseReason why) {
   if (closed_) return;
   closed_ = true;
+  setComplete();
   recordClose(why);
   stream_.close();
   reactionTimeout_.disarm();
@@ -400,8 +430,7 @@
 bool ClientConnection::canClose() const {
   if (busy_ || lingering_ || closed_ || !stream_.output().empty()) return false;
   // A message that is not completed in time delays neither an eviction nor the shutdown.
-  const bool incompleteTooLong = incompleteSince_ != 0 && loop_.now() - incompleteSince_ > kReactionTimeout;
-  return incompleteTooLong || stream_.isIdle();
+  return incompleteTooLong(loop_.now()) || stream_.isIdle();
 }
 
 bool ClientConnection::closeIfIdle() {
--- a/src/downstream/client_connection.h
+++ b/src/downstream/client_connection.h
@@ -59,9 +59,14 @@
   bool closeIfIdle();
   // Closes a lingering connection at once, to free its descriptor.
   void closeLingering() { close(stats::CloseReason::LingerEnded); }
+  // Closes the connection with an error, because the memory of its incomplete message is needed.
+  void closeForMemory();
+  // Returns whether the client has not completed a message that it has begun some time ago.
+  bool incompleteTooLong(Micros now) const;
   // Returns whether the client has completed the protocol's logon, if it has one, or sent a valid request.
   bool identified() const { return identified_; }
-  // Returns whether the client has sent more than one valid request.
+  // Return whether the client has sent a valid request, and whether it has sent more than one.
+  bool hasSentRequest() const { return requestCount_ > 0; }
   bool isReused() const { return requestCount_ > 1; }
   // The time since which no request has been open.
   Micros idleSince() const { return idleSince_; }
@@ -78,6 +83,7 @@
  private:
   // ---- Input ----
   void onInput() override;
+  void onInputLacksMemory() override;
   void onOutputFlushed() override;
   void onEnd(transport::StreamEnd how) override;
   void recordArrivals();
@@ -86,6 +92,8 @@
   bool mustWait();
   bool handle(const protocol::ClientSide::Step& step);
   void onIncomplete(bool partial);
+  void setComplete();
+  bool reclaimInputMemory();
   // ---- Requests ----
   void beginRequest();
   void writeMore(std::size_t size);
--- a/src/downstream/client_connection_context.h
+++ b/src/downstream/client_connection_context.h
@@ -9,6 +9,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "downstream/incomplete_messages.h"
 #include "policy/routing_policy.h"
 
 namespace heathflow::downstream {
@@ -22,6 +23,7 @@
   std::vector<std::string> classNames;
   std::unordered_map<std::string_view, std::uint32_t> classIndexes;
   std::unordered_set<std::string> openRequestIds;
+  IncompleteMessages incompleteMessages;
   std::uint64_t connectionCount = 0;  // accepted so far
   // For each group, whether it is served in a protocol, by index. A group without an entry is served in all.
   std::unordered_map<GroupId, std::vector<bool>> servedProtocols;
--- a/src/program/gateway.cpp
+++ b/src/program/gateway.cpp
@@ -96,6 +96,7 @@
       context_(config.settings.classNames) {
   if (earlier) snapshot_ = *earlier;
   loop.memory().setLimit(config.memory / kBufferMemoryDivisor);
+  loop.memory().addReclaimer(context_.incompleteMessages);
   router_.onSubscribe([this] { watch_.subscribe(); });
   for (const installation::Family& family : installation_.families) {
     std::vector<bool>& served = context_.servedProtocols[family.cluster];
@@ -109,6 +110,8 @@
   for (const installation::Listener& listener : installation_.listeners) addListener(listener);
 }
 
+Gateway::~Gateway() { loop_.memory().removeReclaimer(context_.incompleteMessages); }
+
 void Gateway::addListener(const installation::Listener& settings) {
   std::size_t index = 0;
   while (index + 1 < protocols_.size() && protocols_[index]->name() != settings.protocol) ++index;
--- a/src/program/gateway.h
+++ b/src/program/gateway.h
@@ -35,6 +35,9 @@
   Gateway(transport::EventLoop& loop, const Config& config, stats::Observer& observer,
           const installation::Installation& installation = {},
           const std::optional<snapshot::Snapshot>& earlier = {});
+  ~Gateway();
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
 
   // Opens the listeners that are not open yet. No client is accepted before start().
   // @return the first error; nothing once all are open.
--- a/src/protocol/wire.h
+++ b/src/protocol/wire.h
@@ -124,6 +124,8 @@
     Answered,  // the answer is complete
     Broken,    // the endpoint violated the protocol
   };
+  // Bytes by which a request may become longer when its timeout is rewritten.
+  static constexpr std::size_t kRewriteHeadroom = 1024;
   static constexpr std::size_t kNever = std::numeric_limits<std::size_t>::max();
 
   virtual ~EndpointSide() = default;
--- a/src/routing/attempt_manager.cpp
+++ b/src/routing/attempt_manager.cpp
@@ -81,7 +81,9 @@
   if (!env_.checker.maySend(now, {request.id, attempt.index, attempt.endpoint, leftMs * kMicrosPerMilli}))
     return false;
   ++env_.observer.counters.attemptsWritten;
-  return side.writeRequest(request.owner->requestBytes(), request.timeout, leftMs, out);
+  const std::string_view bytes = request.owner->requestBytes();
+  out.reserveOrReclaim(out.size() + bytes.size() + protocol::EndpointSide::kRewriteHeadroom);
+  return side.writeRequest(bytes, request.timeout, leftMs, out);
 }
 
 bool AttemptManager::canWriteMore(RequestId id, std::size_t size) {
--- a/src/transport/buffer.cpp
+++ b/src/transport/buffer.cpp
@@ -6,9 +6,7 @@
 namespace heathflow::transport {
 namespace {
 
-// Bytes. The first allocation is not charged to the budget, so a small buffer can always be had; an empty
-// buffer keeps no more than kMaxIdleCapacity.
-constexpr std::size_t kInitialCapacity = 4096;
+// Bytes that an empty buffer keeps at most.
 constexpr std::size_t kMaxIdleCapacity = 16384;
 // Bytes; less free space is not worth a read.
 constexpr std::size_t kMinReadSize = 1024;
@@ -22,11 +20,11 @@
   if (wanted <= capacity_) {
     std::memmove(data_.get(), data_.get() + begin_, held);
   } else {
-    const std::size_t next = std::min(limit_, std::max({kInitialCapacity, wanted, 2 * capacity_}));
+    const std::size_t next = allocationFor(wanted);
     // Refuses the allocation here, where the caller can report it, instead of exhausting the process's
     // memory.
     if (budget_ != nullptr && next > kInitialCapacity && !budget_->tryAcquire(next)) return false;
-    if (budget_ != nullptr && capacity_ > kInitialCapacity) budget_->release(capacity_);
+    if (charged() != 0) budget_->release(charged());
     auto grown = std::make_unique_for_overwrite<char[]>(next);
     if (held != 0) std::memcpy(grown.get(), data_.get() + begin_, held);
     data_ = std::move(grown);
@@ -37,6 +35,17 @@
   return true;
 }
 
+std::size_t Buffer::allocationFor(std::size_t size) const {
+  return std::min(limit_, std::max({kInitialCapacity, size, 2 * capacity_}));
+}
+
+bool Buffer::reserveOrReclaim(std::size_t size) {
+  if (reserve(size)) return true;
+  return size <= limit_ && budget_ != nullptr && budget_->reclaim(allocationFor(size)) && reserve(size);
+}
+
+std::size_t Buffer::nextAllocation() const { return allocationFor(std::min(limit_, size() + kMinReadSize)); }
+
 Buffer::FreeSpace Buffer::prepare() {
   if (!reserve(std::min(limit_, size() + kMinReadSize))) return {nullptr, 0};
   const std::size_t free = std::min(capacity_ - end_, limit_ - size());
@@ -60,7 +69,7 @@
 }
 
 void Buffer::release() {
-  if (budget_ != nullptr && capacity_ > kInitialCapacity) budget_->release(capacity_);
+  if (charged() != 0) budget_->release(charged());
   data_.reset();
   capacity_ = begin_ = end_ = 0;
 }
--- a/src/transport/buffer.h
+++ b/src/transport/buffer.h
@@ -32,6 +32,11 @@
     std::size_t size;
   };
   FreeSpace prepare();
+  // Returns how many bytes are allocated if the buffer grows to hold 'size' bytes, or for the next prepare().
+  std::size_t allocationFor(std::size_t size) const;
+  std::size_t nextAllocation() const;
+  // Returns the bytes that are charged to the budget.
+  std::size_t charged() const { return budget_ != nullptr && capacity_ > kInitialCapacity ? capacity_ : 0; }
   void commit(std::size_t size) { end_ += size; }
 
   // Returns false and appends nothing if the limit would be exceeded or the budget is exhausted.
@@ -43,6 +48,11 @@
   // Makes room for 'size' bytes in total, the unread ones included. Returns false under the same conditions
   // as append().
   bool reserve(std::size_t size);
+  // Like reserve(), but has the budget reclaim memory of less important use if it is exhausted.
+  bool reserveOrReclaim(std::size_t size);
+
+  // Bytes. The first allocation is not charged to the budget, so a small buffer can always be had.
+  static constexpr std::size_t kInitialCapacity = 4096;
 
  private:
   std::size_t limit_;
--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -84,6 +84,7 @@
 
 void EventLoop::turn(Micros maxWait) {
   ready_.clear();
+  memory_.notifyWaiters();
   wait(maxWait);
   for (IoHandler* handler : requeued_) ready_.emplace_back(handler, EPOLLIN | EPOLLOUT);
   requeued_.clear();
--- a/src/transport/stream.cpp
+++ b/src/transport/stream.cpp
@@ -4,6 +4,7 @@
 
 #include <cerrno>
 #include <exception>
+#include <utility>
 
 namespace heathflow::transport {
 namespace {
@@ -49,6 +50,7 @@
 void Stream::close() {
   if (!fd_) return;
   lingerTimer_.disarm();
+  stopWaitingForMemory();
   if (lingering_) discardTurn();
   loop_.unwatch(fd_.get(), *this);
   fd_.reset();
@@ -102,6 +104,7 @@
   StreamEnd ended = StreamEnd::Closed;
   bool over = false;
   stalled_ = false;
+  stopWaitingForMemory();
   while (!over) {
     const Buffer::FreeSpace space = input_.prepare();
     if (space.size == 0) {
@@ -129,7 +132,28 @@
   // unread bytes would never be read. If the owner has made room, the rest is still read, which also tells
   // whether the peer closed orderly or by a reset.
   if (stalled_ && hungUp_ && !closed() && input_.prepare().size == 0) over = true;
-  if (over) end(ended);
+  if (over) return end(ended);
+  if (stalled_ && open() && !lingering_) continueStalledInput();
+}
+
+// Decides how reading goes on after the owner has handled an input that had no room.
+void Stream::continueStalledInput() {
+  if (input_.prepare().size != 0) return loop_.requeue(*this);
+  if (input_.full()) return;
+  waitForMemory();
+  owner_.onInputLacksMemory();
+}
+
+// Bytes that are in the socket already trigger no new event, so the budget has to tell when to read them.
+void Stream::waitForMemory() { memoryTicket_ = loop_.memory().addWaiter(*this, input_.nextAllocation()); }
+
+void Stream::stopWaitingForMemory() {
+  if (memoryTicket_ != 0) loop_.memory().removeWaiter(std::exchange(memoryTicket_, 0));
+}
+
+void Stream::onMemoryReleased() {
+  memoryTicket_ = 0;
+  loop_.requeue(*this);
 }
 
 // If a socket is closed with unread bytes, the kernel sends a reset, and the peer may lose data that was sent
@@ -137,6 +161,7 @@
 void Stream::linger(Micros timeout) {
   if (!open() || lingering_) return;
   lingering_ = true;
+  stopWaitingForMemory();
   input_.release();
   lingerTimer_.arm(loop_.now() + timeout);
   if (output_.empty()) onOutputEmpty();
--- a/src/transport/stream.h
+++ b/src/transport/stream.h
@@ -17,15 +17,18 @@
 class StreamOwner {
  public:
   virtual ~StreamOwner() = default;
-  virtual void onOpen() {}           // an outgoing connection is established
-  virtual void onInput() = 0;        // bytes were added to the input
+  virtual void onOpen() {}     // an outgoing connection is established
+  virtual void onInput() = 0;  // bytes were added to the input
+  // Bytes may be left in the socket, because the memory budget has no room for the input to grow. Reading
+  // goes on once there is room. Called again each time that an attempt to read more has failed.
+  virtual void onInputLacksMemory() {}
   virtual void onOutputFlushed() {}  // all output has been handed to the kernel
   // The stream was ended by the peer, the network, a linger limit or an exception in its owner, and is
   // closed. Not called after close().
   virtual void onEnd(StreamEnd) = 0;
 };
 
-class Stream final : private IoHandler {
+class Stream final : private IoHandler, private MemoryWaiter {
  public:
   struct Limits {
     std::size_t input;
@@ -77,7 +80,11 @@
  private:
   void onReady(std::uint32_t events) override;
   void handle(std::uint32_t events);
+  void onMemoryReleased() override;
   void readInput(bool hungUp);
+  void continueStalledInput();
+  void waitForMemory();
+  void stopWaitingForMemory();
   void discardInput();
   bool discardTurn();
   void onOutputEmpty();
@@ -93,9 +100,10 @@
   Timer lingerTimer_;
   bool lingering_ = false;
   std::size_t discarded_ = 0;
-  std::optional<StreamEnd> discardEnd_;  // how the discarded input ended
-  bool stalled_ = false;                 // the last read stopped because the input had no room
-  bool hungUp_ = false;                  // the peer has closed or the connection broke
+  std::optional<StreamEnd> discardEnd_;    // how the discarded input ended
+  MemoryBudget::Ticket memoryTicket_ = 0;  // 0: the input does not wait for memory
+  bool stalled_ = false;                   // the last read stopped because the input had no room
+  bool hungUp_ = false;                    // the peer has closed or the connection broke
 };
 
 }  // namespace heathflow::transport
--- a/src/upstream/endpoint_connection.cpp
+++ b/src/upstream/endpoint_connection.cpp
@@ -5,12 +5,10 @@
 namespace heathflow::upstream {
 namespace {
 
-// Room for a rewritten timeout, which may make a request longer than the longest that a client may send.
-constexpr std::size_t kRewrittenTimeoutBytes = 1024;
 // The limits of the buffered input and output of a connection. They bound the memory of an attempt, and so
 // that of the process.
-constexpr transport::Stream::Limits kStreamLimits = {protocol::kEndpointAnswerLimit,
-                                                     protocol::kClientMessageLimit + kRewrittenTimeoutBytes};
+constexpr transport::Stream::Limits kStreamLimits = {
+    protocol::kEndpointAnswerLimit, protocol::kClientMessageLimit + protocol::EndpointSide::kRewriteHeadroom};
 
 }  // namespace
 
@@ -101,10 +99,13 @@
 }
 
 void EndpointConnection::onInput() {
-  inputFull_ = stream_.stalled();
+  inputFull_ = stream_.stalled() && stream_.input().full();
   if (!paused_) readInput();
 }
 
+// The rest of the answer is read once there is memory for it; the timeout of the exchange bounds the wait.
+void EndpointConnection::onInputLacksMemory() { loop_.memory().reclaim(stream_.input().nextAllocation()); }
+
 void EndpointConnection::readInput() {
   ReadAction action = ReadAction::Continue;
   while (action == ReadAction::Continue) {
@@ -129,7 +130,7 @@
   using Event = protocol::EndpointSide::Event;
   switch (event) {
     case Event::NeedMore:
-      // A response larger than the limit or the available memory would never become complete.
+      // A response larger than the limit would never become complete.
       return inputFull_ ? ReadAction::ProtocolError : ReadAction::Wait;
     case Event::Ready:
       return onReady();
--- a/src/upstream/endpoint_connection.h
+++ b/src/upstream/endpoint_connection.h
@@ -114,6 +114,7 @@
  private:
   void onOpen() override;
   void onInput() override;
+  void onInputLacksMemory() override;
   void onOutputFlushed() override;
   void onEnd(transport::StreamEnd how) override;
   void writeRequest();
@@ -145,7 +146,7 @@
   Micros readySince_ = 0;
   bool requestStarted_ = false;   // the request has been handed to the stream
   bool paused_ = false;           // the response waits for the exchange to take more of it
-  bool inputFull_ = false;        // the input had no room left when it was last read
+  bool inputFull_ = false;        // the input had reached its limit when it was last read
   bool writeBlocked_ = false;     // the exchange waits to write more of the request
   std::size_t requestBytes_ = 0;  // handed to the stream since the exchange began to write
 };
