--- a/src/protocol/bolt_client.cpp
+++ b/src/protocol/bolt_client.cpp
@@ -1,6 +1,7 @@
 #include "protocol/bolt_client.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace heathflow::protocol {
@@ -81,14 +82,27 @@
   return Event::NeedMore;
 }
 
-void BoltClient::beginRequest() {
+std::size_t BoltClient::takeSurplusAnswers() { return std::exchange(surplusAnswers_, 0); }
+
+// Starts a request. A connection that has carried one is reset in the same write: the endpoint may have sent
+// its last answer again, and what precedes the reply to RESET is that copy. Returns false if the buffer has
+// no room.
+bool BoltClient::beginRequest(Buffer& out) {
   phase_ = Phase::Busy;
+  const std::size_t before = out.size();
+  if (reused_ && !bolt::writeEmptyMessage(out, Tag::Reset)) return false;
+  reset_ = reused_ ? Reset::Awaited : Reset::None;
+  reused_ = true;
+  resemblesReset_ = lastReplyEmpty_ = false;
   answer_ = Answer{};
   pendingReplies_.clear();
   isTransaction_ = isHealthCheck_ = failureReceived_ = answerComplete_ = answerStarted_ = commitSent_ =
       partPassed_ = false;
-  requestBytes_ = 0;
+  answerBegin_ = heldReplies_ = 0;
+  onlyEmptyRepliesHeld_ = true;
+  requestBytes_ = out.size() - before;
   mayRunAfter_ = mayPersistAfter_ = kNever;
+  return true;
 }
 
 // Forwards RUN or BEGIN unchanged except for two values: the timeout becomes the remaining time, and each
@@ -161,18 +175,19 @@
 }
 
 bool BoltClient::writeRequest(std::string_view request, Slice, std::int64_t leftMs, Buffer& out) {
-  beginRequest();
-  return writeMessages(request, true, leftMs, out);
+  return beginRequest(out) && writeMessages(request, true, leftMs, out);
 }
 
 bool BoltClient::writeRequestPart(std::string_view message, Buffer& out) {
+  // The endpoint has answered all before: only what it answers from here on may be sent again later.
+  if (pendingReplies_.empty()) resemblesReset_ = false;
   return writeMessages(message, false, 0, out);
 }
 
 bool BoltClient::writeHealthCheck(Buffer& out) {
-  beginRequest();
-  isHealthCheck_ = true;
   const std::size_t before = out.size();
+  if (!beginRequest(out)) return false;
+  isHealthCheck_ = true;
   std::string run;
   packstream::addStructureHeader(run, static_cast<std::uint8_t>(Tag::Run), 3);
   packstream::addText(run, kHealthCheckStatement);
@@ -191,21 +206,23 @@
 }
 
 bool BoltClient::recover(Buffer& out) {
-  if (phase_ != Phase::Failed) return false;
+  if (phase_ != Phase::Failed || resemblesReset_) return false;
   if (!bolt::writeEmptyMessage(out, Tag::Reset)) return false;
   phase_ = Phase::Recovering;
   answerComplete_ = false;
-  pendingReplies_ = {Tag::Reset};
+  pendingReplies_.clear();
+  reset_ = Reset::Awaited;
   return true;
 }
 
 void BoltClient::onConsumed() {
-  parsed_ = 0;
+  parsed_ = answerBegin_ = heldReplies_ = 0;
+  onlyEmptyRepliesHeld_ = true;
   scan_ = {};
   answer_.pieces = {};
   answer_.report = answer_.code = {};
   answer_.replies = 0;
-  partPassed_ = phase_ == Phase::Busy;
+  partPassed_ = phase_ == Phase::Busy && answerStarted_;
 }
 
 Answer::Kind BoltClient::classifyFailure(std::string_view code) {
@@ -247,17 +264,42 @@
   return {parsed_ + static_cast<std::size_t>(piece.data() - message.data()), piece.size()};
 }
 
+// Drops a reply of 'size' bytes that has no entries and comes in place of RUN's, which names the fields of
+// the result: a copy of an earlier reply, such as that to RESET or to the login. The replies before it that
+// are held back are equal to it, so that the first bytes are left out in place of its own.
+BoltClient::Event BoltClient::dropEmptyReply(std::size_t size) {
+  if (!onlyEmptyRepliesHeld_ || parsed_ - answerBegin_ != heldReplies_ * size) return broken();
+  ++surplusAnswers_;
+  answerBegin_ += size;
+  return Event::NeedMore;
+}
+
+// Records a reply of the request's answer. A copy of an answer in which another reply follows an empty one
+// can't be told from the reply to RESET and what follows that.
+void BoltClient::recordReply(bool empty) {
+  resemblesReset_ = resemblesReset_ || lastReplyEmpty_;
+  lastReplyEmpty_ = empty && !pendingReplies_.empty();
+  ++heldReplies_;
+  onlyEmptyRepliesHeld_ = onlyEmptyRepliesHeld_ && empty;
+  ++answer_.replies;
+}
+
 BoltClient::Event BoltClient::handleReply(std::string_view message, std::string_view payload, Tag tag) {
   const Tag request = pendingReplies_.front();
-  pendingReplies_.pop_front();
-  ++answer_.replies;
   if (tag == Tag::Ignored) {
     if (!failureReceived_ || payload.size() != 2) return broken();
+    pendingReplies_.pop_front();
+    recordReply(false);
     return pendingReplies_.empty() ? finishAnswer(answer_.kind) : Event::NeedMore;
   }
   if (failureReceived_) return broken();
   const auto summary = bolt::readSummary(payload);
   if (!summary) return broken();
+  if (tag == Tag::Success && request == Tag::Run && !summary->hasFields) {
+    return summary->entries == 0 ? dropEmptyReply(message.size()) : broken();
+  }
+  pendingReplies_.pop_front();
+  recordReply(summary->entries == 0);
   if (summary->primary) answer_.primary = summary->primary;
   if (summary->positionMs) answer_.positionMs = summary->positionMs;
   if (summary->report.size != 0) answer_.report = sliceOf(summary->report.of(payload), message);
@@ -285,46 +327,68 @@
 BoltClient::Event BoltClient::handleMessage(std::string_view message, std::string_view payload, Tag tag) {
   unsigned fields = 0;
   if (bolt::checkFields(payload, fields) != DecodeError::None) return broken();
-  switch (phase_) {
-    case Phase::Starting:
-    case Phase::Recovering:
-      if (tag == Tag::Failure && phase_ == Phase::Starting) {
-        const auto summary = bolt::readSummary(payload);
-        if (!summary) return broken();
-        answer_ = Answer{};
-        const Answer::Kind kind = classifyFailure(summary->code);
-        // No statement has been sent yet that could be at fault.
-        answer_.kind = kind == Answer::Kind::Value ? Answer::Kind::Error : kind;
-        phase_ = Phase::Dead;
-        return Event::Rejected;
-      }
-      if (tag != Tag::Success || pendingReplies_.empty()) return broken();
-      pendingReplies_.pop_front();
-      if (!pendingReplies_.empty()) return Event::NeedMore;
-      phase_ = Phase::Idle;
-      return Event::Ready;
-    case Phase::Busy:
-      break;
-    default:
-      return broken();
-  }
+  if (tag != Tag::Success && tag != Tag::Failure && tag != Tag::Ignored && tag != Tag::Record)
+    return broken();
+  if (phase_ == Phase::Starting) return handleStartupReply(payload, tag);
+  if (phase_ != Phase::Busy && phase_ != Phase::Recovering) return broken();
+  if (reset_ != Reset::None) return handleBeforeReset(payload, tag);
   answerStarted_ = true;
   if (pendingReplies_.empty()) return broken();
-  if (tag == Tag::Record) {
-    if (fields != 1 || pendingReplies_.front() != Tag::Pull || failureReceived_) return broken();
-    Reader reader(payload, 2);
-    const auto list = reader.header();
-    if (!list || list->type != Type::List) return broken();
-    if (isHealthCheck_) {
-      const auto text = list->size == 1 ? reader.text() : std::nullopt;
-      if (!text || answer_.value.size != 0) return broken();
-      answer_.value = sliceOf(*text, message);
-      if (answer_.value.size != text->size()) return broken();
-    }
-    return Event::NeedMore;
+  return tag == Tag::Record ? handleRecord(message, payload, fields) : handleReply(message, payload, tag);
+}
+
+BoltClient::Event BoltClient::handleStartupReply(std::string_view payload, Tag tag) {
+  if (tag == Tag::Failure) {
+    const auto summary = bolt::readSummary(payload);
+    if (!summary) return broken();
+    answer_ = Answer{};
+    const Answer::Kind kind = classifyFailure(summary->code);
+    // No statement has been sent yet that could be at fault.
+    answer_.kind = kind == Answer::Kind::Value ? Answer::Kind::Error : kind;
+    phase_ = Phase::Dead;
+    return Event::Rejected;
   }
-  if (tag != Tag::Success && tag != Tag::Failure && tag != Tag::Ignored) return broken();
-  return handleReply(message, payload, tag);
+  if (tag != Tag::Success || pendingReplies_.empty()) return broken();
+  pendingReplies_.pop_front();
+  if (!pendingReplies_.empty()) return Event::NeedMore;
+  phase_ = Phase::Idle;
+  return Event::Ready;
+}
+
+// Handles a message that precedes the reply to RESET, or that reply, which has no entries.
+BoltClient::Event BoltClient::handleBeforeReset(std::string_view payload, Tag tag) {
+  if (tag == Tag::Success) {
+    const auto summary = bolt::readSummary(payload);
+    if (!summary) return broken();
+    if (summary->entries == 0) return finishReset();
+  }
+  // An answer with a failure is followed by a RESET at once, so a copy of it precedes the reply to that one.
+  const bool ofFailure = tag == Tag::Failure || tag == Tag::Ignored;
+  if (ofFailure && phase_ != Phase::Recovering) return broken();
+  if (std::exchange(reset_, Reset::AwaitedBehindSurplus) == Reset::Awaited) ++surplusAnswers_;
+  return Event::NeedMore;
+}
+
+BoltClient::Event BoltClient::finishReset() {
+  reset_ = Reset::None;
+  if (phase_ == Phase::Busy) return Event::Surplus;
+  reused_ = false;
+  phase_ = Phase::Idle;
+  return Event::Ready;
+}
+
+BoltClient::Event BoltClient::handleRecord(std::string_view message, std::string_view payload,
+                                           unsigned fields) {
+  if (fields != 1 || pendingReplies_.front() != Tag::Pull || failureReceived_) return broken();
+  onlyEmptyRepliesHeld_ = false;
+  Reader reader(payload, 2);
+  const auto list = reader.header();
+  if (!list || list->type != Type::List) return broken();
+  if (!isHealthCheck_) return Event::NeedMore;
+  const auto text = list->size == 1 ? reader.text() : std::nullopt;
+  if (!text || answer_.value.size != 0) return broken();
+  answer_.value = sliceOf(*text, message);
+  return answer_.value.size == text->size() ? Event::NeedMore : broken();
 }
 
 BoltClient::Event BoltClient::feed(std::string_view bytes, bool full, Buffer& out) {
@@ -352,7 +416,7 @@
       parsed_ += frame.size;
       if (event == Event::Answered) {
         // Forwards the bytes before the final reply unchanged, and the IGNORED messages after it too.
-        answer_.pieces[0] = {0, answer_.pieces[1].at};
+        answer_.pieces[0] = {answerBegin_, answer_.pieces[1].at - answerBegin_};
         const std::size_t end = answer_.pieces[1].at + answer_.pieces[1].size;
         answer_.pieces[2] = {end, parsed_ - end};
       }
@@ -361,11 +425,13 @@
       parsed_ += frame.size;
     }
   }
-  if (phase_ != Phase::Busy || parsed_ == 0 || failureReceived_ || isHealthCheck_) return Event::NeedMore;
+  if (reset_ != Reset::None) return parsed_ == 0 ? Event::NeedMore : Event::Surplus;
+  if (phase_ != Phase::Busy || parsed_ == answerBegin_ || failureReceived_ || isHealthCheck_)
+    return Event::NeedMore;
   // Reports a part if every message sent so far has its reply, so that the client has to continue; if no more
   // can be held back; or if a part has been passed on already, so that no other endpoint can take over.
   if (!partPassed_ && !pendingReplies_.empty() && !full && parsed_ < kMaxHeldBack) return Event::NeedMore;
-  answer_.pieces[0] = {0, parsed_};
+  answer_.pieces[0] = {answerBegin_, parsed_ - answerBegin_};
   return Event::Part;
 }
 
--- a/src/protocol/bolt_client.h
+++ b/src/protocol/bolt_client.h
@@ -39,9 +39,9 @@
   }
   bool answerStarted() const override { return answerStarted_; }
   bool completeAtClose() const override { return answerComplete_; }
-  bool usable() const override { return phase_ == Phase::Idle; }
+  bool usable() const override { return phase_ == Phase::Idle && !resemblesReset_; }
   bool recover(Buffer& out) override;
-  std::size_t takeSurplusAnswers() override { return 0; }
+  std::size_t takeSurplusAnswers() override;
 
   // Bytes of an answer that are held back before a part is passed on. Until then another endpoint can still
   // answer.
@@ -49,14 +49,23 @@
 
  private:
   enum class Phase { Handshake, Starting, Idle, Busy, Failed, Recovering, Dead };
+  // Whether RESET has been sent ahead of what the endpoint answers next. All that precedes its reply belongs
+  // to no request.
+  enum class Reset { None, Awaited, AwaitedBehindSurplus };
 
   Event broken();
   Event handshake(std::string_view bytes, Buffer& out);
   Event handleMessage(std::string_view message, std::string_view payload, bolt::Tag tag);
+  Event handleStartupReply(std::string_view payload, bolt::Tag tag);
+  Event handleBeforeReset(std::string_view payload, bolt::Tag tag);
+  Event handleRecord(std::string_view message, std::string_view payload, unsigned fields);
   Event handleReply(std::string_view message, std::string_view payload, bolt::Tag tag);
   Event finishAnswer(Answer::Kind kind);
+  Event dropEmptyReply(std::size_t size);
+  Event finishReset();
+  void recordReply(bool empty);
   Slice sliceOf(std::string_view piece, std::string_view message) const;
-  void beginRequest();
+  bool beginRequest(Buffer& out);
   bool writeMessages(std::string_view message, bool first, std::int64_t leftMs, Buffer& out);
   bool writeFirstMessage(std::string_view payload, bolt::Tag tag, std::int64_t leftMs, Buffer& out);
   Answer::Kind classifyFailure(std::string_view code);
@@ -64,6 +73,14 @@
   const BoltLogin& login_;
   Phase phase_ = Phase::Handshake;
   std::size_t parsed_ = 0;
+  std::size_t answerBegin_ = 0;  // where the answer begins in the bytes that were fed
+  Reset reset_ = Reset::None;
+  bool reused_ = false;               // a request was written since the connection started or was reset
+  bool lastReplyEmpty_ = false;       // the last reply was a SUCCESS without entries, as RESET's is
+  bool resemblesReset_ = false;       // an empty reply was followed by another one before all had come
+  std::size_t heldReplies_ = 0;       // of the part of the answer that has not been passed on
+  bool onlyEmptyRepliesHeld_ = true;  // each of them is empty
+  std::size_t surplusAnswers_ = 0;    // since takeSurplusAnswers()
   bolt::ChunkScan scan_;
   std::string scratch_;
   std::deque<bolt::Tag> pendingReplies_;  // messages sent that have no reply yet
--- a/src/protocol/bolt_message.cpp
+++ b/src/protocol/bolt_message.cpp
@@ -339,6 +339,7 @@
     } else if (value->type == Type::Boolean) {
       if (*key == "has_more") out.hasMore = value->boolean;
     } else if (value->type == Type::List || value->type == Type::Map || value->type == Type::Structure) {
+      if (*key == "fields" && value->type == Type::List) out.hasFields = true;
       // The nested values are skipped; they have been checked.
       const std::size_t parts = value->type == Type::Map ? 2 * value->size : value->size;
       for (std::size_t part = 0; part < parts; ++part) {
--- a/src/protocol/bolt_message.h
+++ b/src/protocol/bolt_message.h
@@ -137,6 +137,7 @@
 // The entries of a SUCCESS's or FAILURE's map that the gateway needs.
 struct Summary {
   bool hasMore = false;
+  bool hasFields = false;  // names the fields of a result, as the reply to RUN does
   std::optional<bool> primary;
   std::optional<std::int64_t> positionMs;
   Slice report;
--- a/src/protocol/wire.h
+++ b/src/protocol/wire.h
@@ -121,6 +121,7 @@
     Ready,     // the connection is established, or can be used again
     Rejected,  // the endpoint rejected the connection; the answer holds the error
     Part,      // a part of an answer to pass on; more follows or has to be requested
+    Surplus,   // the parsed bytes belong to no request, and are discarded
     Answered,  // the answer is complete
     Broken,    // the endpoint violated the protocol
   };
--- a/src/upstream/endpoint_connection.cpp
+++ b/src/upstream/endpoint_connection.cpp
@@ -139,6 +139,8 @@
       return ReadAction::Wait;
     case Event::Part:
       return onPart(bytes);
+    case Event::Surplus:
+      return consumeAndContinue();
     case Event::Answered:
       return onAnswered();
     case Event::Broken:
@@ -160,6 +162,13 @@
   return ReadAction::Wait;
 }
 
+EndpointConnection::ReadAction EndpointConnection::consumeAndContinue() {
+  consumeInput();
+  inputFull_ = false;
+  stream_.resume();
+  return stream_.input().empty() ? ReadAction::Wait : ReadAction::Continue;
+}
+
 EndpointConnection::ReadAction EndpointConnection::onPart(std::string_view bytes) {
   if (exchange_ == nullptr) return ReadAction::ProtocolError;
   if (!exchange_->onResponsePart(side_->answer(), bytes)) {
@@ -168,10 +177,7 @@
   }
   // The exchange may have aborted the connection.
   if (stream_.closed() || exchange_ == nullptr) return ReadAction::Wait;
-  consumeInput();
-  inputFull_ = false;
-  stream_.resume();
-  return stream_.input().empty() ? ReadAction::Wait : ReadAction::Continue;
+  return consumeAndContinue();
 }
 
 EndpointConnection::ReadAction EndpointConnection::onAnswered() {
--- a/src/upstream/endpoint_connection.h
+++ b/src/upstream/endpoint_connection.h
@@ -123,6 +123,7 @@
   void readInput();
   ReadAction handle(protocol::EndpointSide::Event event, std::string_view bytes);
   ReadAction onReady();
+  ReadAction consumeAndContinue();
   ReadAction onPart(std::string_view bytes);
   ReadAction onAnswered();
   std::size_t bytesWritten() const {
--- a/tests/bolt_states_test.cpp
+++ b/tests/bolt_states_test.cpp
@@ -144,6 +144,155 @@
   EXPECT_TRUE(endpoint.client.usable());
 }
 
+// A connection to an endpoint that may send its answers twice. The connection has carried one request.
+class ReusedEndpoint : public Endpoint {
+ public:
+  explicit ReusedEndpoint(const std::string& firstAnswer = kFields + value("first") + kSummary) {
+    EXPECT_TRUE(writeRun());
+    EXPECT_EQ(feed(firstAnswer), Event::Answered);
+    consume();
+    sent();
+  }
+  static std::string value(const std::string& text) { return peer::record({peer::text(text)}); }
+  bool writeRun() { return client.writeRequest(peer::run("1") + peer::pull(), {}, 500, out); }
+  bool writeBegin() { return client.writeRequest(peer::begin(), {}, 500, out); }
+  // Feeds bytes, and consumes those that belong to no request.
+  Event feedPastSurplus(const std::string& bytes) {
+    Event event = feed(bytes);
+    while (event == Event::Surplus) {
+      consume();
+      event = feed("");
+    }
+    return event;
+  }
+  static inline const std::string kSummary = peer::success({{"mode", peer::text("read-only")}});
+};
+
+// Failure: the second copy of an answer, which comes behind the next request, is taken for that one's answer.
+TEST(BoltEndpointCopies, OfAnAnswerAreNotTakenForTheNextOne) {
+  ReusedEndpoint endpoint;
+  const std::string first = kFields + ReusedEndpoint::value("first") + ReusedEndpoint::kSummary;
+  const std::string second = kFields + ReusedEndpoint::value("second") + ReusedEndpoint::kSummary;
+  ASSERT_TRUE(endpoint.writeRun());
+  EXPECT_EQ(endpoint.sent(), peer::plain(peer::kReset) + peer::run("1") + peer::pull());
+  EXPECT_EQ(endpoint.feedPastSurplus(first + peer::success() + second), Event::Answered);
+  EXPECT_EQ(endpoint.passed(), second);
+  EXPECT_EQ(endpoint.client.takeSurplusAnswers(), 1U);
+  EXPECT_TRUE(endpoint.client.usable());
+}
+
+// However the bytes are split; nothing of the copy starts the answer.
+TEST(BoltEndpointCopies, AreDroppedHoweverTheyAreSplit) {
+  const std::string first = kFields + ReusedEndpoint::value("first") + ReusedEndpoint::kSummary;
+  const std::string second = kFields + ReusedEndpoint::value("second") + ReusedEndpoint::kSummary;
+  ReusedEndpoint endpoint;
+  ASSERT_TRUE(endpoint.writeRun());
+  Event event = Event::NeedMore;
+  const std::string copyAndReset = first + peer::success();
+  for (const char byte : copyAndReset) {
+    EXPECT_FALSE(endpoint.client.answerStarted());
+    event = endpoint.feedPastSurplus(std::string(1, byte));
+    EXPECT_EQ(event, Event::NeedMore);
+  }
+  for (const char byte : second) event = endpoint.feedPastSurplus(std::string(1, byte));
+  EXPECT_EQ(event, Event::Answered);
+  EXPECT_EQ(endpoint.passed(), second);
+}
+
+// Failure: a copy larger than the buffer ends the connection and fails the request behind it.
+TEST(BoltEndpointCopies, MayBeLargerThanTheBuffer) {
+  ReusedEndpoint endpoint;
+  ASSERT_TRUE(endpoint.writeRun());
+  EXPECT_EQ(endpoint.feedPastSurplus(kFields), Event::NeedMore);
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(endpoint.feedPastSurplus(ReusedEndpoint::value(std::string(50'000, 'v'))), Event::NeedMore);
+    EXPECT_TRUE(endpoint.in.empty());
+  }
+  const std::string second = kFields + ReusedEndpoint::value("second") + ReusedEndpoint::kSummary;
+  EXPECT_EQ(endpoint.feedPastSurplus(ReusedEndpoint::kSummary + peer::success() + second), Event::Answered);
+  EXPECT_EQ(endpoint.passed(), second);
+}
+
+// Failure: the copy of an empty reply, of LOGON on a new connection or of RESET, is taken for that to RUN.
+TEST(BoltEndpointCopies, OfRepliesWithoutEntriesAreNotTakenForThatToRun) {
+  const std::string answer = kFields + ReusedEndpoint::value("own") + ReusedEndpoint::kSummary;
+  Endpoint fresh;
+  ASSERT_TRUE(fresh.client.writeRequest(peer::run("1") + peer::pull(), {}, 500, fresh.out));
+  EXPECT_EQ(fresh.sent(), peer::run("1") + peer::pull()) << "a new connection has nothing to drop";
+  EXPECT_EQ(fresh.feed(peer::success() + answer), Event::Answered);
+  EXPECT_EQ(fresh.passed(), answer);
+  EXPECT_EQ(fresh.client.takeSurplusAnswers(), 1U);
+
+  ReusedEndpoint reused;
+  ASSERT_TRUE(reused.writeRun());
+  EXPECT_EQ(reused.feedPastSurplus(peer::success() + peer::success() + answer), Event::Answered);
+  EXPECT_EQ(reused.passed(), answer);
+}
+
+// Failure: such a copy is taken for the reply to BEGIN, and each later reply for the one before it.
+TEST(BoltEndpointCopies, OfRepliesWithoutEntriesDoNotShiftATransaction) {
+  ReusedEndpoint endpoint;
+  const std::string transaction = peer::begin() + peer::run("1") + peer::pull() + peer::plain(peer::kCommit);
+  ASSERT_TRUE(endpoint.client.writeRequest(transaction, {}, 500, endpoint.out));
+  const std::string answer =
+      peer::success() + kFields + ReusedEndpoint::value("own") + ReusedEndpoint::kSummary + peer::success();
+  EXPECT_EQ(endpoint.feedPastSurplus(peer::success() + peer::success() + answer), Event::Answered);
+  EXPECT_EQ(endpoint.passed(), answer);
+  EXPECT_EQ(endpoint.client.answer().replies, 4U);
+}
+
+// A copy of such an answer can't be told from the reply to RESET and what follows it.
+TEST(BoltEndpointCopies, OfAnAnswerThatResemblesAResetAreLeftWithTheConnection) {
+  Endpoint endpoint;
+  const std::string transaction = peer::begin() + peer::run("1") + peer::pull() + peer::plain(peer::kCommit);
+  ASSERT_TRUE(endpoint.client.writeRequest(transaction, {}, 500, endpoint.out));
+  EXPECT_EQ(endpoint.feed(peer::success() + kFields + peer::success() + peer::success()), Event::Answered);
+  EXPECT_FALSE(endpoint.client.usable());
+  endpoint.consume();
+  EXPECT_FALSE(endpoint.client.recover(endpoint.out));
+}
+
+TEST(BoltEndpointCopies, OfAFailurePrecedeTheReplyToTheResetBehindIt) {
+  Endpoint endpoint;
+  ASSERT_TRUE(endpoint.client.writeRequest(peer::run("1") + peer::pull(), {}, 500, endpoint.out));
+  const std::string failure =
+      peer::failure("Neo.TransientError.Request.NoThreadsAvailable") + peer::ignored();
+  EXPECT_EQ(endpoint.feed(failure), Event::Answered);
+  endpoint.consume();
+  ASSERT_TRUE(endpoint.client.recover(endpoint.out));
+  EXPECT_EQ(endpoint.feed(failure + peer::success()), Event::Ready);
+  EXPECT_EQ(endpoint.client.takeSurplusAnswers(), 1U);
+  endpoint.consume();
+  endpoint.sent();
+  ASSERT_TRUE(endpoint.client.writeRequest(peer::run("2") + peer::pull(), {}, 500, endpoint.out));
+  EXPECT_EQ(endpoint.sent(), peer::run("2") + peer::pull()) << "it has just been reset";
+}
+
+// Failure: a rejection that is not the request's own proves that a write never ran.
+TEST(BoltEndpointCopies, AFailureBeforeTheReplyToResetProvesNothing) {
+  for (const std::string& reply : {peer::failure("Neo.TransientError.Request.NoThreadsAvailable"),
+                                   peer::ignored(), std::string("\0\2xx\0\0", 6)}) {
+    ReusedEndpoint endpoint;
+    ASSERT_TRUE(endpoint.writeRun());
+    EXPECT_EQ(endpoint.feed(reply), Event::Broken);
+  }
+}
+
+TEST(BoltEndpointCopies, AReplyToRunHasToNameTheFields) {
+  ReusedEndpoint endpoint;
+  ASSERT_TRUE(endpoint.writeRun());
+  EXPECT_EQ(endpoint.feedPastSurplus(peer::success() + ReusedEndpoint::kSummary), Event::Broken);
+}
+
+// The bytes of RESET count: a request that was cut off before its RUN was complete has not run.
+TEST(BoltEndpointCopies, TheResetCountsAmongTheBytesBeforeARequestMayRun) {
+  ReusedEndpoint endpoint;
+  ASSERT_TRUE(endpoint.writeRun());
+  const std::size_t expected = peer::plain(peer::kReset).size() + peer::run("1").size();
+  EXPECT_EQ(endpoint.client.mayRunAfter(), expected);
+  EXPECT_EQ(endpoint.client.mayPersistAfter(), expected);
+}
+
 TEST(BoltEndpoint, IsUsableAgainAfterAFailureAndAReset) {
   Endpoint endpoint;
   ASSERT_TRUE(endpoint.client.writeRequest(peer::run("1") + peer::pull(), {}, 500, endpoint.out));
