--- a/src/emulator/emulated_endpoint.cpp
+++ b/src/emulator/emulated_endpoint.cpp
@@ -30,6 +30,7 @@
   server_.onStartup = [this](test::Line& line) { onConnect(line); };
   server_.answer = [this](test::Line& line, const std::string& statement) { onStatement(line, statement); };
   server_.healthCheck = [this](test::Line& line, const std::string&) { onHealthCheck(line); };
+  server_.readinessCheck = [this](test::Line& line, const std::string&) { onReadinessCheck(line); };
 }
 
 void EmulatedEndpoint::stop() {
@@ -91,6 +92,10 @@
   });
 }
 
+void EmulatedEndpoint::onReadinessCheck(test::Line& line) {
+  line.say((draining_ ? test::pg::error("57P03") : test::pg::row("1")) + test::pg::ready());
+}
+
 void EmulatedEndpoint::onHealthCheck(test::Line& line) {
   if (draining_) return line.say(test::pg::error("57P03") + test::pg::ready());
   const std::string role = model_.primary() ? "1" : "0";
--- a/src/emulator/emulated_endpoint.h
+++ b/src/emulator/emulated_endpoint.h
@@ -38,6 +38,7 @@
   void onConnect(test::Line& line);
   void onStatement(test::Line& line, const std::string& statement);
   void onHealthCheck(test::Line& line);
+  void onReadinessCheck(test::Line& line);
   // Sends bytes at a later time, unless the endpoint is stopped or the connection ends before.
   void sendAt(Micros at, test::Line& line, std::function<std::string()> what, bool thenClose = false);
 
--- a/src/policy/attempt_observer.cpp
+++ b/src/policy/attempt_observer.cpp
@@ -37,6 +37,9 @@
 
 void AttemptObserver::observeEnd(EndpointState& endpoint, const PendingRequest& request,
                                  const AttemptEnded& event) {
+  const bool rejected = event.outcome == AttemptOutcome::Overloaded;
+  if (rejected || event.outcome == AttemptOutcome::Ok)
+    endpoint.evidence.observeAnswer(request.attempts[event.attempt].sentAt, rejected);
   if (isAnswer(event.outcome)) {
     endpoint.observeResponse(context_.now());
     observeRole(endpoint, request, event);
--- a/src/policy/routing_policy.h
+++ b/src/policy/routing_policy.h
@@ -186,6 +186,7 @@
   bool rejected = false;        // no result, but no sign either that the endpoint is down
   bool refusesNewWork = false;  // the endpoint reports that it is starting or draining
   Micros connectionAge = 0;     // of the connection over which it answered
+  bool provesReadiness = true;  // an endpoint that drains would have rejected it
 };
 // The endpoints' clocks are now known to lead this process's clock by no more than this. Until the first such
 // event they do not lead it.
@@ -256,7 +257,8 @@
 struct StartHealthCheck {
   EndpointId endpoint = 0;
   HealthCheckReason reason = HealthCheckReason::Initial;
-  bool onOldestConnection = false;  // over the idle connection that has been open longest
+  // It has to prove that the endpoint does not drain, over the idle connection that has been open longest.
+  bool onOldestConnection = false;
 };
 // Closes this gateway's idle connections to an endpoint.
 struct CloseIdleConnections {
--- a/src/protocol/bolt_client.h
+++ b/src/protocol/bolt_client.h
@@ -28,6 +28,8 @@
   bool writeRequest(std::string_view request, Slice timeout, std::int64_t leftMs, Buffer& out) override;
   bool writeRequestPart(std::string_view message, Buffer& out) override;
   bool writeHealthCheck(Buffer& out) override;
+  // An endpoint that drains rejects the call of the load report.
+  bool writeReadinessCheck(Buffer& out) override { return writeHealthCheck(out); }
   Event feed(std::string_view bytes, bool full, Buffer& out) override;
   std::size_t parsedBytes() const override { return parsed_; }
   void onConsumed() override;
--- a/src/protocol/pg_protocol.cpp
+++ b/src/protocol/pg_protocol.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::string_view kHealthCheckStatement = "SHOW stats";
+constexpr std::string_view kReadinessCheckStatement = "SELECT 1";
 
 std::string_view statementOf(std::string_view message) {
   return message.substr(kHeaderSize, message.size() - kHeaderSize - 1);
@@ -123,10 +124,14 @@
   return true;
 }
 
-bool PgEndpointSide::writeHealthCheck(Buffer& out) {
+bool PgEndpointSide::writeHealthCheck(Buffer& out) { return writeCheck(kHealthCheckStatement, out); }
+
+bool PgEndpointSide::writeReadinessCheck(Buffer& out) { return writeCheck(kReadinessCheckStatement, out); }
+
+bool PgEndpointSide::writeCheck(std::string_view statement, Buffer& out) {
   const std::size_t before = out.size();
   answer_ = Answer{};
-  if (!writeQuery(out, kHealthCheckStatement, {}, {})) return false;
+  if (!writeQuery(out, statement, {}, {})) return false;
   queryBytes_ = out.size() - before;
   client_.onQueryWritten();
   return true;
--- a/src/protocol/pg_protocol.h
+++ b/src/protocol/pg_protocol.h
@@ -33,6 +33,7 @@
   bool writeRequest(std::string_view request, Slice timeout, std::int64_t leftMs, Buffer& out) override;
   bool writeRequestPart(std::string_view, Buffer&) override { return false; }
   bool writeHealthCheck(Buffer& out) override;
+  bool writeReadinessCheck(Buffer& out) override;
   Event feed(std::string_view bytes, bool full, Buffer& out) override;
   std::size_t parsedBytes() const override { return client_.parsedBytes(); }
   void onConsumed() override { client_.onConsumed(); }
@@ -47,6 +48,7 @@
   std::size_t takeSurplusAnswers() override { return client_.takeSurplusAnswers(); }
 
  private:
+  bool writeCheck(std::string_view statement, Buffer& out);
   void translate(std::string_view bytes);
 
   PgClient client_;
--- a/src/protocol/wire.h
+++ b/src/protocol/wire.h
@@ -136,7 +136,9 @@
   virtual bool writeRequest(std::string_view request, Slice timeout, std::int64_t leftMs, Buffer& out) = 0;
   // Writes a further part of the request. Returns false and writes nothing if there is no room at present.
   virtual bool writeRequestPart(std::string_view message, Buffer& out) = 0;
+  // Writes a request for the endpoint's load report, or one that an endpoint rejects while it drains.
   virtual bool writeHealthCheck(Buffer& out) = 0;
+  virtual bool writeReadinessCheck(Buffer& out) = 0;
 
   // Parses all bytes that were received and not yet consumed. 'full' means that no more can be received until
   // some are consumed. After Ready, Part and Answered the caller uses the answer and then consumes the parsed
--- a/src/routing/health_check_manager.h
+++ b/src/routing/health_check_manager.h
@@ -32,7 +32,8 @@
 
  private:
   struct HealthCheck;
-  void connect(HealthCheck& check, upstream::ConnectionPool::Selection selection);
+  void connect(HealthCheck& check);
+  void onReady(HealthCheck& check);
   void onExchangeEnd(HealthCheck& check, const upstream::ExchangeEnd& end);
   void onTimeout(HealthCheck& check);
   void end(HealthCheck& check, HealthCheckEnded event);
--- a/src/standins/standins.cpp
+++ b/src/standins/standins.cpp
@@ -126,6 +126,9 @@
   if (statement == "SHOW stats" || statement == kHealthCheck) {
     ++healthChecks;
     healthCheck(line, statement);
+  } else if (speaks == Speaks::Postgres && statement == "SELECT 1") {
+    ++readinessChecks;
+    readinessCheck(line, statement);
   } else {
     if (keepsStatements) statements.push_back(statement);
     answer(line, statement);
--- a/src/standins/standins.h
+++ b/src/standins/standins.h
@@ -210,6 +210,7 @@
     const std::string millis = std::to_string(1000 + now % 1000).substr(1);
     line.say(report("x0=" + std::to_string(now / 1000) + "." + millis + ",x1=" + (primary ? "1" : "0")));
   };
+  Answer readinessCheck = [](Line& line, const std::string&) { line.say(pg::row("1") + pg::ready()); };
   // Bolt: sees each message after the login first, except those of health checks; returns true if it has
   // handled the message.
   std::function<bool(Line& line, const bolt::Message& message)> script;
@@ -217,6 +218,7 @@
   bool keepsStatements = true;
   std::vector<unsigned char> tags;  // of all Bolt messages after the login
   std::size_t healthChecks = 0;
+  std::size_t readinessChecks = 0;  // PostgreSQL only
 
  private:
   std::string report(const std::string& text) const;
--- a/tests/announced_drain_test.cpp
+++ b/tests/announced_drain_test.cpp
@@ -95,6 +95,60 @@
   EXPECT_EQ(rig.endpoints[0]->statements.size(), 5U);
 }
 
+// Failure: an endpoint that drains answers SHOW stats with its report as ever, and that is taken for the
+// proof that it does not drain. Only SELECT 1 is rejected by one that drains.
+TEST(DrainingEndpoints, ThatReportAsEverGetNoRequestsOnAnExpiredList) {
+  GatewayRig rig(byHand(kMaxPollIntervalMs));
+  expireList(rig);
+  for (const std::size_t i : {1U, 2U}) {
+    rig.endpoints[i]->readinessCheck = [&rig, i](Line& line, const std::string&) {
+      line.say(rig.endpoints[i]->error("57P03"));
+    };
+  }
+  ASSERT_TRUE(waitFor(rig, 6 * kSecond));
+  ClientStandIn client(rig.loop, rig.socketAddress);
+  std::size_t answers = 0;
+  for (int i = 0; i < 5; ++i) {
+    client.ask(request("any", std::to_string(i)));
+    ASSERT_TRUE(client.answered(++answers));
+  }
+  EXPECT_TRUE(rig.endpoints[1]->statements.empty());
+  EXPECT_TRUE(rig.endpoints[2]->statements.empty());
+  EXPECT_EQ(rig.endpoints[0]->statements.size(), 5U);
+}
+
+// Failure (review/9): an endpoint that drains answers each health check as ever and rejects requests, and is
+// sent them on an expired list all the same.
+TEST_P(DrainRule, EndpointsThatRejectedRequestsGetNoneOnAnExpiredList) {
+  GatewayRig rig(speaking());
+  connectAll(rig);
+  rejectAllCalls(rig);
+  for (const std::size_t i : {1U, 2U}) {
+    rig.endpoints[i]->answer = [&rig, i](Line& line, const std::string&) {
+      line.say(rig.endpoints[i]->error("53300"));
+    };
+  }
+  ClientStandIn client(rig.loop, rig.socketAddress);
+  std::size_t answers = 0;
+  const auto ask = [&] {
+    client.ask(request("any", std::to_string(answers)));
+    ASSERT_TRUE(client.answered(++answers));
+  };
+  while (rig.endpoints[1]->statements.empty() || rig.endpoints[2]->statements.empty()) {
+    ASSERT_LT(answers, 100U);
+    ask();
+  }
+  ASSERT_TRUE(waitFor(rig, 6 * kSecond));
+  const std::size_t before = rig.endpoints[1]->statements.size() + rig.endpoints[2]->statements.size();
+  const std::uint64_t served = rig.counters().requestsServed;
+  for (int i = 0; i < 10; ++i) {
+    ask();
+    ASSERT_TRUE(waitFor(rig, kSecond));
+  }
+  EXPECT_EQ(rig.endpoints[1]->statements.size() + rig.endpoints[2]->statements.size(), before);
+  EXPECT_GT(rig.counters().requestsServed, served) << "the primary serves";
+}
+
 // Each endpoint gets one health check in 6 s, however many requests arrive.
 TEST_P(DrainRule, RemainingEndpointsServeWithOneHealthCheckInSixSeconds) {
   GatewayRig rig(speaking());
--- a/tests/policy/endpoint_evidence_test.cpp
+++ b/tests/policy/endpoint_evidence_test.cpp
@@ -83,6 +83,67 @@
   EXPECT_TRUE(harness.sentTo(late).empty());
 }
 
+// Failure (review/9): an endpoint that drains answers health checks as ever, and is sent requests on an
+// expired list although it has rejected those before.
+TEST(EndpointEvidence, AnEndpointThatRejectsRequestsIsNotUsedHoweverItAnswersHealthChecks) {
+  PolicyHarnessWithKnownGroup harness;
+  const auto rejected = harness.sendRequest(kUnsafeWrite, kS);
+  for (std::uint32_t attempt = 0; attempt < harness.sentTo(rejected).size(); ++attempt) {
+    harness.endAttempt(rejected, attempt, AttemptOutcome::Overloaded);
+    harness.advance(100 * kMs);
+  }
+  harness.advance(kS);
+  ASSERT_EQ(harness.rejections(rejected), 1);
+  expireList(harness);
+  int forExpiredList = 0;
+  for (int i = 0; i < 20; ++i) {
+    harness.handle(answered(1));
+    const auto write = harness.sendRequest(kUnsafeWrite);
+    EXPECT_TRUE(harness.sentTo(write).empty());
+    // Some are rejected on arrival, because the rejections before have made the gateway shed load.
+    EXPECT_EQ(harness.rejections(write), 1) << "at once, because no health check can give evidence";
+    forExpiredList += rejectedForExpiredList(harness) ? 1 : 0;
+    harness.advance(kS);
+  }
+  EXPECT_GT(forExpiredList, 0);
+  harness.updateEndpoints({}, EndpointsChanged::Scope::Delta);
+  std::optional<RequestId> served;
+  for (int i = 0; i < 20 && !served; ++i) {
+    const auto write = harness.sendRequest(kUnsafeWrite);
+    if (harness.sentTo(write) == Endpoints{1}) served = write;
+  }
+  EXPECT_TRUE(served) << "the next list ends the need for evidence";
+}
+
+// One that drains still serves what was sent before, so only a request that was sent later shows that it goes
+// on.
+TEST(EndpointEvidence, OnlyARequestSentAfterTheRejectedOneShowsThatTheEndpointGoesOn) {
+  for (const bool servedIsLater : {false, true}) {
+    PolicyHarnessWithKnownGroup harness;
+    const auto first = harness.sendRequest(kUnsafeWrite);
+    harness.advance(kMs);
+    const auto second = harness.sendRequest(kUnsafeWrite);
+    ASSERT_EQ(harness.sentTo(first), Endpoints{1});
+    ASSERT_EQ(harness.sentTo(second), Endpoints{1});
+    harness.endAttempt(servedIsLater ? first : second, 0, AttemptOutcome::Overloaded);
+    harness.endAttempt(servedIsLater ? second : first, 0, AttemptOutcome::Ok, Role::Primary);
+    expireList(harness);
+    harness.handle(answered(1));
+    const auto write = harness.sendRequest(kUnsafeWrite);
+    EXPECT_EQ(harness.sentTo(write), servedIsLater ? Endpoints{1} : Endpoints{}) << servedIsLater;
+  }
+}
+
+// A full queue is rejected for with the same code. The list was valid after that, without a drain.
+TEST(EndpointEvidence, ARejectionBeforeTheNewestListSaysNothing) {
+  PolicyHarnessWithKnownGroup harness;
+  harness.endAttempt(harness.sendRequest(kUnsafeWrite), 0, AttemptOutcome::Overloaded);
+  harness.advance(kListAge + kS);
+  expireList(harness);
+  harness.handle(answered(1));
+  EXPECT_EQ(harness.sentTo(harness.sendRequest(kUnsafeWrite)), Endpoints{1});
+}
+
 TEST(EndpointEvidence, TheNextListEndsTheNeedForEvidence) {
   HarnessWithExpiredList harness;
   harness.updateEndpoints({}, EndpointsChanged::Scope::Delta);
