Health checks: one that ends before its load report is asked for does not ask any more

Cause: since a check on an expired list asks SELECT 1, then the load report by a timer. If its timeout is due in the turn in which SELECT 1 is answered, the check ended and was to be deleted at the end of the turn with that timer still armed, which would have started an exchange for it. Found by reading, not seen in a run, and without a test of its own. Change: the end of a check disarms the timer.

--- a/src/routing/health_check_manager.cpp
+++ b/src/routing/health_check_manager.cpp
@@ -115,6 +115,7 @@
   const auto found = checks_.find(check.endpoint);
   if (found == checks_.end() || found->second.get() != &check) return;
   check.timeout.disarm();
+  check.nextStep.disarm();
   event.endpoint = check.endpoint;
   event.elapsed = env_.loop.now() - check.startedAt;
   stats::Counters& counters = env_.observer.counters;
